--- /dev/null
+++ b/kernel/registry.go
@@ -0,0 +1,169 @@
+package kernel
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+)
+
+// Plugin is the life cycle of a plug-in: Provision, then Validate, then use,
+// then Cleanup. One value serves one node.
+type Plugin interface {
+	// Provision keeps the host and registers message handlers. No I/O.
+	Provision(h *Host) error
+	// Validate checks the plug-in's own settings.
+	Validate() error
+	// Cleanup releases what Provision acquired.
+	Cleanup() error
+}
+
+// EntryPlugin stands in the entry chain.
+type EntryPlugin interface {
+	WrapEntry(next Handler) Handler
+}
+
+// OwnerPlugin stands in the owner chain.
+type OwnerPlugin interface {
+	WrapOwner(next Handler) Handler
+}
+
+// Ticker is implemented by plug-ins with periodic work. Tick is called every
+// TickInterval from one goroutine and must not block.
+type Ticker interface {
+	Tick(now time.Time)
+}
+
+// Resigner is implemented by plug-ins that hand state over at a planned stop,
+// after the last call has ended.
+type Resigner interface {
+	Resign(ctx context.Context)
+}
+
+// TickInterval is the period of Ticker.Tick.
+const TickInterval = 50 * time.Millisecond
+
+// Info describes a registered plug-in.
+type Info struct {
+	Name string
+	// Order places the plug-in in the chains; a smaller value is outermost.
+	Order int
+	New   func() Plugin
+}
+
+var (
+	registryMu sync.Mutex
+	registry   = map[string]Info{}
+)
+
+// Register adds a plug-in. It is called from init; a second plug-in with the
+// same name is a programming error and panics.
+func Register(i Info) {
+	registryMu.Lock()
+	defer registryMu.Unlock()
+	if _, dup := registry[i.Name]; dup {
+		panic("kernel: plug-in registered twice: " + i.Name)
+	}
+	registry[i.Name] = i
+}
+
+// Registered returns the registered plug-ins in chain order.
+func Registered() []Info {
+	registryMu.Lock()
+	defer registryMu.Unlock()
+	infos := make([]Info, 0, len(registry))
+	for _, i := range registry {
+		infos = append(infos, i)
+	}
+	sort.Slice(infos, func(a, b int) bool {
+		if infos[a].Order != infos[b].Order {
+			return infos[a].Order < infos[b].Order
+		}
+		return infos[a].Name < infos[b].Name
+	})
+	return infos
+}
+
+// Set is the provisioned plug-ins of one node.
+type Set struct {
+	plugins []Plugin
+}
+
+// NewSet provisions and validates the named plug-ins in chain order.
+func NewSet(h *Host, names []string) (*Set, error) {
+	wanted := map[string]bool{}
+	for _, n := range names {
+		wanted[n] = true
+	}
+	s := &Set{}
+	for _, info := range Registered() {
+		if !wanted[info.Name] {
+			continue
+		}
+		delete(wanted, info.Name)
+		p := info.New()
+		if err := p.Provision(h); err != nil {
+			return nil, fmt.Errorf("provision %s: %w", info.Name, err)
+		}
+		if err := p.Validate(); err != nil {
+			return nil, fmt.Errorf("validate %s: %w", info.Name, err)
+		}
+		s.plugins = append(s.plugins, p)
+	}
+	for n := range wanted {
+		return nil, fmt.Errorf("no plug-in named %q", n)
+	}
+	return s, nil
+}
+
+// Entry builds the entry chain around the last handler.
+func (s *Set) Entry(last Handler) Handler {
+	h := last
+	for i := len(s.plugins) - 1; i >= 0; i-- {
+		if p, ok := s.plugins[i].(EntryPlugin); ok {
+			h = p.WrapEntry(h)
+		}
+	}
+	return h
+}
+
+// Owner builds the owner chain around the last handler.
+func (s *Set) Owner(last Handler) Handler {
+	h := last
+	for i := len(s.plugins) - 1; i >= 0; i-- {
+		if p, ok := s.plugins[i].(OwnerPlugin); ok {
+			h = p.WrapOwner(h)
+		}
+	}
+	return h
+}
+
+// Tick forwards a timer tick to every plug-in that wants one.
+func (s *Set) Tick(now time.Time) {
+	for _, p := range s.plugins {
+		if t, ok := p.(Ticker); ok {
+			t.Tick(now)
+		}
+	}
+}
+
+// Resign lets every plug-in hand over its state at a planned stop.
+func (s *Set) Resign(ctx context.Context) {
+	for _, p := range s.plugins {
+		if r, ok := p.(Resigner); ok {
+			r.Resign(ctx)
+		}
+	}
+}
+
+// Cleanup releases all plug-ins, last provisioned first.
+func (s *Set) Cleanup() error {
+	var first error
+	for i := len(s.plugins) - 1; i >= 0; i-- {
+		if err := s.plugins[i].Cleanup(); err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
--- /dev/null
+++ b/state/snapshot.go
@@ -0,0 +1,89 @@
+package state
+
+import (
+	"sort"
+
+	"github.com/gooseberryflow/gooseberryflow/config"
+)
+
+// Snapshot is the state after a log prefix. It is immutable: every change
+// makes a new value, published with an atomic pointer (read-copy-update).
+type Snapshot struct {
+	// Offset is the first log offset that has not been applied.
+	Offset uint64
+	// Version is the number of the configuration in force; zero means none.
+	Version  uint64
+	ChangeID string
+	Config   *config.Config
+	// File is the source text of the configuration in force.
+	File []byte
+	// Keys holds every issued key by ID, from the file and from key records.
+	Keys map[string]config.Key
+	// Withdrawn holds the IDs of withdrawn keys; it only ever grows.
+	Withdrawn map[string]bool
+	// Members holds the live incarnations; Ended those that have ended.
+	Members map[MemberID]Member
+	Ended   map[MemberID]bool
+
+	byDomain  map[string][]Member
+	byService map[string][]Member
+	routes    map[string][]config.Route
+	customers map[string]config.Customer
+}
+
+// Domain returns the members of a failure domain ordered by ID.
+func (s *Snapshot) Domain(name string) []Member { return s.byDomain[name] }
+
+// Service returns the members of a service ordered by ID.
+func (s *Snapshot) Service(name string) []Member { return s.byService[name] }
+
+// Domains returns the names of the failure domains with members, sorted.
+func (s *Snapshot) Domains() []string {
+	names := make([]string, 0, len(s.byDomain))
+	for name := range s.byDomain {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Routes returns the routes of a service in file order.
+func (s *Snapshot) Routes(service string) []config.Route { return s.routes[service] }
+
+// Customer returns a customer by name.
+func (s *Snapshot) Customer(name string) (config.Customer, bool) {
+	c, ok := s.customers[name]
+	return c, ok
+}
+
+// Index returns a copy of s with its lookup tables rebuilt from its exported
+// fields. Call it after the fields have been set and before publishing.
+func (s *Snapshot) Index() *Snapshot {
+	n := *s
+	n.byDomain = make(map[string][]Member)
+	n.byService = make(map[string][]Member)
+	for _, m := range n.Members {
+		n.byDomain[m.Domain] = append(n.byDomain[m.Domain], m)
+		n.byService[m.Service] = append(n.byService[m.Service], m)
+	}
+	sortMembers(n.byDomain)
+	sortMembers(n.byService)
+	n.routes = make(map[string][]config.Route)
+	n.customers = make(map[string]config.Customer)
+	if n.Config == nil {
+		return &n
+	}
+	for _, r := range n.Config.Routes {
+		n.routes[r.Service] = append(n.routes[r.Service], r)
+	}
+	for _, c := range n.Config.Customers {
+		n.customers[c.Name] = c
+	}
+	return &n
+}
+
+func sortMembers(groups map[string][]Member) {
+	for _, g := range groups {
+		sort.Slice(g, func(i, j int) bool { return g[i].ID < g[j].ID })
+	}
+}
