--- a/kernel/call.go
+++ b/kernel/call.go
@@ -35,7 +35,9 @@
 	Priority config.Priority `cbor:"10,keyasint"`
 	// Idempotent calls may be retried after an unknown outcome.
 	Idempotent bool `cbor:"11,keyasint"`
-	// IdempotencyKey is set on non-idempotent calls (UUIDv7, canonical form).
+	// IdempotencyKey is a UUIDv7 in canonical form. The caller's own if it sent
+	// one; else derived from the parent's (nested calls) or the root call's ID.
+	// Claims are taken for it only when the call is not idempotent.
 	IdempotencyKey string `cbor:"12,keyasint"`
 	// DeadlineMS is the deadline in Unix milliseconds.
 	DeadlineMS int64 `cbor:"13,keyasint"`
@@ -98,6 +100,9 @@
 	Load *Load `cbor:"9,keyasint"`
 	// Owner is the member that served or refused the call, if any.
 	Owner state.MemberID `cbor:"10,keyasint"`
+	// Lost is set when the instance, or the node beside it, went away while
+	// the call was in flight.
+	Lost bool `cbor:"11,keyasint"`
 }
 
 // Load is what an owner node tells on every answer.
