--- a/config/config.go
+++ b/config/config.go
@@ -44,6 +44,9 @@
 	Keys      []Key
 	Routes    []Route
 	Retry     RetryPolicy
+	// FailureDomains lists the failure domains; the home failure domain of an
+	// idempotency key and the shares of a rate are taken over this list.
+	FailureDomains []string
 }
 
 // Customer is a tenant with a fleet-wide rate limit.
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/gooseberryflow/gooseberryflow/config"
 )
@@ -24,6 +25,13 @@
 	// Members holds the live incarnations; Ended those that have ended.
 	Members map[MemberID]Member
 	Ended   map[MemberID]bool
+	// Contact is the local time just before the start of the latest read of
+	// the log's head whose records are all contained in this snapshot. Any
+	// record not in the snapshot was appended after Contact. Zero means never.
+	Contact time.Time
+	// Events lists recent changes of the roster in log order; Seq increases by
+	// one for each. A reader that finds a gap must assume it missed changes.
+	Events []RosterEvent
 
 	byDomain  map[string][]Member
 	byService map[string][]Member
@@ -31,6 +39,16 @@
 	customers map[string]config.Customer
 }
 
+// RosterEvent is one change of the roster.
+type RosterEvent struct {
+	Seq    uint64
+	Member Member
+	// Ended is false for an announcement, true for the end of an incarnation.
+	Ended bool
+	// Observed is the local time at which this node applied the change.
+	Observed time.Time
+}
+
 // Domain returns the members of a failure domain ordered by ID.
 func (s *Snapshot) Domain(name string) []Member { return s.byDomain[name] }
 
