--- /dev/null
+++ b/state/core_config.go
@@ -0,0 +1,108 @@
+package state
+
+import (
+	"fmt"
+
+	"github.com/gooseberryflow/gooseberryflow/config"
+)
+
+// Parse turns the text of an operators' file into a configuration. It must be
+// a pure function, since every node runs it on the same records.
+type Parse func(file []byte) (*config.Config, error)
+
+// configure judges a configuration record. It returns the parsed file when the
+// record came into force.
+func (c *core) configure(offset uint64, r ConfigRecord, parse Parse) (*config.Config, error) {
+	if !c.VersionKnown {
+		c.postpone(offset, r)
+		return nil, fmt.Errorf("change %s waits until the version is known", r.ChangeID)
+	}
+	return c.decide(r, parse)
+}
+
+func (c *core) postpone(offset uint64, r ConfigRecord) {
+	if len(c.Pending) == maxPending {
+		c.Start = c.Pending[0].Offset + 1
+		c.Pending = c.Pending[1:]
+	}
+	c.Pending = append(c.Pending, pendingConfig{Offset: offset, Record: r})
+}
+
+func (c *core) decide(r ConfigRecord, parse Parse) (*config.Config, error) {
+	if d, ok := c.decision(r.ChangeID); ok && d.Accepted() {
+		return nil, fmt.Errorf("change %s is version %d already", r.ChangeID, d.Version)
+	}
+	if r.Base != c.Version {
+		return nil, c.reject(r, fmt.Errorf("it is based on version %d, but version %d is in force", r.Base, c.Version))
+	}
+	cfg, err := parse(r.File)
+	if err != nil {
+		return nil, c.reject(r, fmt.Errorf("invalid file: %w", err))
+	}
+	c.Version++
+	c.ChangeID = r.ChangeID
+	c.File = r.File
+	c.remember(Decision{ChangeID: r.ChangeID, Version: c.Version})
+	return cfg, nil
+}
+
+func (c *core) reject(r ConfigRecord, reason error) error {
+	c.remember(Decision{ChangeID: r.ChangeID, Reason: reason.Error()})
+	return fmt.Errorf("change %s is void: %w", r.ChangeID, reason)
+}
+
+func (c *core) remember(d Decision) {
+	if len(c.Decisions) == maxDecisions {
+		c.Decisions = c.Decisions[1:]
+	}
+	c.Decisions = append(c.Decisions, d)
+}
+
+// decision returns the latest judgement on a change.
+func (c *core) decision(changeID string) (Decision, bool) {
+	for i := len(c.Decisions) - 1; i >= 0; i-- {
+		if c.Decisions[i].ChangeID == changeID {
+			return c.Decisions[i], true
+		}
+	}
+	return Decision{}, false
+}
+
+// refresh applies a repeated configuration. A known version only ever grows;
+// an unknown one becomes known if the writer's offset is one from which on all
+// configuration records are at hand, and those are judged then.
+func (c *core) refresh(r RefreshRecord, parse Parse) (*config.Config, error) {
+	if !c.VersionKnown && r.Seen < c.Start {
+		return nil, fmt.Errorf("refresh of version %d as of offset %d is too old", r.Version, r.Seen)
+	}
+	var cfg *config.Config
+	if r.Version > c.Version {
+		parsed, err := parse(r.File)
+		if err != nil {
+			return nil, fmt.Errorf("refresh of version %d: %w", r.Version, err)
+		}
+		cfg = parsed
+		c.Version = r.Version
+		c.ChangeID = r.ChangeID
+		c.File = r.File
+		c.remember(Decision{ChangeID: r.ChangeID, Version: r.Version})
+	}
+	if c.VersionKnown {
+		return cfg, nil
+	}
+	c.VersionKnown = true
+	return c.judgePending(r.Seen, cfg, parse), nil
+}
+
+func (c *core) judgePending(seen uint64, cfg *config.Config, parse Parse) *config.Config {
+	for _, p := range c.Pending {
+		if p.Offset < seen {
+			continue
+		}
+		if later, err := c.decide(p.Record, parse); err == nil {
+			cfg = later
+		}
+	}
+	c.Pending = nil
+	return cfg
+}
--- /dev/null
+++ b/state/record.go
@@ -0,0 +1,185 @@
+package state
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/gooseberryflow/gooseberryflow/config"
+)
+
+// Limits of a record. A record beyond them is refused by Encode and void on
+// every node.
+const (
+	// MaxRecordBytes bounds an encoded record.
+	MaxRecordBytes = 1 << 20
+	// MaxFileBytes bounds the text of an operators' file.
+	MaxFileBytes = MaxRecordBytes - 4096
+	// MaxIDBytes bounds a member, key or change ID, an address and a name.
+	MaxIDBytes = 256
+	// MaxListLen bounds the lists in one record.
+	MaxListLen = 4096
+)
+
+// recordFormat is the version of the envelope. A reader refuses later ones.
+const recordFormat = 1
+
+// ErrBadRecord reports a record that can't be decoded or is out of bounds.
+var ErrBadRecord = errors.New("bad record")
+
+// Kind tells the records of the log apart.
+type Kind uint8
+
+// The kinds of records.
+const (
+	KindConfig Kind = iota + 1
+	KindRefresh
+	KindKeys
+	KindWithdraw
+	KindAnnounce
+	KindEnd
+	KindDrain
+)
+
+// Record is one typed record of the log.
+type Record interface {
+	recordKind() Kind
+	check() error
+}
+
+// ConfigRecord proposes a whole operators' file. It is void unless Base is the
+// version in force at its place in the log; its own version is then Base+1.
+type ConfigRecord struct {
+	ChangeID string `cbor:"1,keyasint"`
+	Base     uint64 `cbor:"2,keyasint"`
+	File     []byte `cbor:"3,keyasint"`
+}
+
+// RefreshRecord repeats the configuration in force, so that it outlives the
+// log's retention. Version zero says that there is none yet.
+type RefreshRecord struct {
+	Version  uint64 `cbor:"1,keyasint"`
+	ChangeID string `cbor:"2,keyasint"`
+	File     []byte `cbor:"3,keyasint"`
+	// Seen is the writer's offset: Version was in force there.
+	Seen uint64 `cbor:"4,keyasint"`
+}
+
+// KeysRecord issues keys. The first issue of an ID wins.
+type KeysRecord struct {
+	Keys []IssuedKey `cbor:"1,keyasint"`
+}
+
+// IssuedKey is a config.Key in a record.
+type IssuedKey struct {
+	ID       string `cbor:"1,keyasint"`
+	Customer string `cbor:"2,keyasint"`
+	Salt     string `cbor:"3,keyasint"`
+	Hash     string `cbor:"4,keyasint"`
+}
+
+// Key returns the key.
+func (k IssuedKey) Key() config.Key { return config.Key(k) }
+
+// WithdrawRecord withdraws keys for good.
+type WithdrawRecord struct {
+	KeyIDs []string `cbor:"1,keyasint"`
+}
+
+// AnnounceRecord announces an incarnation, or repeats its announcement.
+type AnnounceRecord struct {
+	Member Member `cbor:"1,keyasint"`
+	// Seen is the writer's offset. An announcement that reaches the log more
+	// than AnnounceWindow records later is void.
+	Seen uint64 `cbor:"2,keyasint"`
+}
+
+// EndRecord ends an incarnation for good.
+type EndRecord struct {
+	ID     MemberID  `cbor:"1,keyasint"`
+	By     MemberID  `cbor:"2,keyasint"`
+	Reason EndReason `cbor:"3,keyasint"`
+}
+
+// EndReason tells why an incarnation ended.
+type EndReason uint8
+
+// The reasons for an end.
+const (
+	// EndResigned is said by the member itself, after its last call.
+	EndResigned EndReason = iota + 1
+	// EndRemoved is said by others.
+	EndRemoved
+)
+
+// DrainRecord starts or stops the draining of a member.
+type DrainRecord struct {
+	ID       MemberID `cbor:"1,keyasint"`
+	Draining bool     `cbor:"2,keyasint"`
+}
+
+func (ConfigRecord) recordKind() Kind   { return KindConfig }
+func (RefreshRecord) recordKind() Kind  { return KindRefresh }
+func (KeysRecord) recordKind() Kind     { return KindKeys }
+func (WithdrawRecord) recordKind() Kind { return KindWithdraw }
+func (AnnounceRecord) recordKind() Kind { return KindAnnounce }
+func (EndRecord) recordKind() Kind      { return KindEnd }
+func (DrainRecord) recordKind() Kind    { return KindDrain }
+
+func (r ConfigRecord) check() error {
+	if len(r.File) > MaxFileBytes {
+		return fmt.Errorf("%w: file of %d bytes", ErrBadRecord, len(r.File))
+	}
+	return checkIDs(r.ChangeID)
+}
+
+func (r RefreshRecord) check() error {
+	if r.Version == 0 {
+		return nil
+	}
+	return ConfigRecord{ChangeID: r.ChangeID, File: r.File}.check()
+}
+
+func (r KeysRecord) check() error {
+	if len(r.Keys) > MaxListLen {
+		return fmt.Errorf("%w: %d keys", ErrBadRecord, len(r.Keys))
+	}
+	for _, k := range r.Keys {
+		if err := checkIDs(k.ID, k.Customer, k.Hash); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r WithdrawRecord) check() error {
+	if len(r.KeyIDs) > MaxListLen {
+		return fmt.Errorf("%w: %d keys", ErrBadRecord, len(r.KeyIDs))
+	}
+	return checkIDs(r.KeyIDs...)
+}
+
+func (r AnnounceRecord) check() error {
+	m := r.Member
+	return checkIDs(string(m.ID), m.Service, m.Domain, m.ControlAddr, m.CallAddr, m.CallerAddr)
+}
+
+func (r EndRecord) check() error {
+	if r.Reason != EndResigned && r.Reason != EndRemoved {
+		return fmt.Errorf("%w: end reason %d", ErrBadRecord, r.Reason)
+	}
+	if r.Reason == EndResigned && r.By != r.ID {
+		return fmt.Errorf("%w: %s can't resign for %s", ErrBadRecord, r.By, r.ID)
+	}
+	return checkIDs(string(r.ID), string(r.By))
+}
+
+func (r DrainRecord) check() error { return checkIDs(string(r.ID)) }
+
+func checkIDs(ids ...string) error {
+	for _, id := range ids {
+		if id == "" || len(id) > MaxIDBytes {
+			return fmt.Errorf("%w: ID or address of %d bytes", ErrBadRecord, len(id))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/state/transfer.go
@@ -0,0 +1,155 @@
+package state
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/config"
+)
+
+// MaxStateBytes bounds an encoded state.
+const MaxStateBytes = 16 << 20
+
+// maxStateLen bounds each collection in an encoded state.
+const maxStateLen = 1 << 17
+
+// ErrOlder reports a state that would take this node back.
+var ErrOlder = errors.New("state is older than this node's")
+
+var stateDecMode = mustDecMode(maxStateLen)
+
+// transfer is the encoded form of a whole state.
+type transfer struct {
+	Format    uint8      `cbor:"1,keyasint"`
+	Core      core       `cbor:"2,keyasint"`
+	Withdrawn []string   `cbor:"3,keyasint"`
+	Resigned  []MemberID `cbor:"4,keyasint"`
+}
+
+// Export encodes the whole state for a node that can't read the log.
+func (f *Fold) Export() ([]byte, error) {
+	withdrawn, resigned := f.Outside()
+	data, err := encMode.Marshal(transfer{Format: recordFormat, Core: f.core, Withdrawn: withdrawn, Resigned: resigned})
+	if err != nil {
+		return nil, fmt.Errorf("encode state: %w", err)
+	}
+	if len(data) > MaxStateBytes {
+		return nil, fmt.Errorf("encode state: %d bytes", len(data))
+	}
+	return data, nil
+}
+
+// Adopt replaces the state by a peer's exported one if that is later. What
+// only ever grows is merged, never dropped. The contact with the log is kept
+// as it is: a peer's word confirms nothing.
+func (f *Fold) Adopt(data []byte, now time.Time) error {
+	t, err := decodeTransfer(data)
+	if err != nil {
+		return fmt.Errorf("adopt state: %w", err)
+	}
+	if t.Core.Offset <= f.core.Offset || t.Core.Version < f.core.Version || !t.Core.VersionKnown {
+		return fmt.Errorf("adopt state at offset %d, version %d: %w", t.Core.Offset, t.Core.Version, ErrOlder)
+	}
+	var cfg *config.Config
+	if t.Core.Version > 0 {
+		if cfg, err = f.parse(t.Core.File); err != nil {
+			return fmt.Errorf("adopt state: %w", err)
+		}
+	}
+	f.replace(t.Core, cfg, now)
+	f.Withdraw(t.Withdrawn)
+	f.Resigned(t.Resigned, now)
+	return nil
+}
+
+func decodeTransfer(data []byte) (transfer, error) {
+	var t transfer
+	if len(data) > MaxStateBytes {
+		return t, fmt.Errorf("%w: %d bytes", ErrBadRecord, len(data))
+	}
+	if err := stateDecMode.Unmarshal(data, &t); err != nil {
+		return t, fmt.Errorf("%w: %w", ErrBadRecord, err)
+	}
+	if t.Format != recordFormat {
+		return t, fmt.Errorf("%w: format %d", ErrBadRecord, t.Format)
+	}
+	return t, t.Core.check()
+}
+
+// check verifies the bounds and the invariants that the fold relies on.
+func (c *core) check() error {
+	if c.Keys == nil || c.Withdrawn == nil || c.Members == nil || c.Ended == nil {
+		return fmt.Errorf("%w: a collection is missing", ErrBadRecord)
+	}
+	if c.Start > c.Offset || len(c.Pending) > maxPending || len(c.Decisions) > maxDecisions {
+		return fmt.Errorf("%w: state out of bounds", ErrBadRecord)
+	}
+	if len(c.File) > MaxFileBytes {
+		return fmt.Errorf("%w: file of %d bytes", ErrBadRecord, len(c.File))
+	}
+	for id, m := range c.Members {
+		if id != m.Member.ID {
+			return fmt.Errorf("%w: member %s under ID %s", ErrBadRecord, m.Member.ID, id)
+		}
+		if err := (AnnounceRecord{Member: m.Member}).check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// replace installs a later core, keeping every withdrawal and end known here.
+func (f *Fold) replace(next core, cfg *config.Config, now time.Time) {
+	old := f.core
+	f.core = next
+	f.cfg = cfg
+	f.dirty = true
+	f.Withdraw(slices.Collect(maps.Keys(old.Withdrawn)))
+	for id, at := range old.Ended {
+		if _, known := f.core.Ended[id]; !known && at+endWindow >= next.Offset {
+			f.core.Ended[id] = at
+			delete(f.core.Members, id)
+		}
+	}
+	f.pruneOutside()
+	f.jump(now)
+	f.noteDifferences(old, now)
+}
+
+// pruneOutside forgets what the log prefix contains by now.
+func (f *Fold) pruneOutside() {
+	f.forgetWithdrawn(slices.Collect(maps.Keys(f.core.Withdrawn)))
+	for id := range f.core.Ended {
+		delete(f.resigned, id)
+	}
+}
+
+func (f *Fold) noteDifferences(old core, now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(old.Members)) {
+		if _, live := f.core.Members[id]; !live {
+			f.note([]change{{member: old.Members[id].Member, ended: true}}, now)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(f.core.Members)) {
+		if _, before := old.Members[id]; !before {
+			f.note([]change{{member: f.core.Members[id].Member}}, now)
+		}
+	}
+}
+
+// Digest returns a hash over the state that comes from the log. Two nodes that
+// applied the same prefix have equal digests.
+func (f *Fold) Digest() uint64 {
+	c := f.core
+	c.Start = 0
+	c.Pending = nil
+	c.Decisions = nil
+	data, err := encMode.Marshal(c)
+	if err != nil {
+		panic("state: core is not encodable: " + err.Error())
+	}
+	return RecordHash(data)
+}
