--- /dev/null
+++ b/membership/duties.go
@@ -0,0 +1,164 @@
+package membership
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+// listChunk bounds the IDs or keys in one record of a refresh.
+const listChunk = 1024
+
+// unknownRefreshes is the number of refresh intervals after which a node whose
+// version is unknown writes a refresh with what it has. By then every node
+// that knows the version has had its turn.
+const unknownRefreshes = 2
+
+// duties tracks what this node may have to append on behalf of all.
+type duties struct {
+	refresh time.Duration
+	// refreshDue is when the first-ranked node refreshes the configuration.
+	refreshDue time.Time
+	// outsideSince is when the first of the items that are not in the log was
+	// learned; zero means that there are none.
+	outsideSince time.Time
+	// accepted is set while this node owes the log an item that it accepted.
+	accepted bool
+}
+
+// newDuties spreads the first refresh over the interval, so that it happens
+// also in a fleet whose nodes are replaced faster than it passes.
+func newDuties(now time.Time, rand uint64, refresh time.Duration) duties {
+	return duties{refresh: refresh, refreshDue: now.Add(time.Duration(rand % uint64(refresh)))}
+}
+
+// observe notes a record of the log; version is the one in force. An earlier
+// version's refresh, read again after a rollback, does not count.
+func (d *duties) observe(rec state.Record, version uint64, now time.Time) {
+	if r, ok := rec.(state.RefreshRecord); ok && r.Version >= version {
+		d.refreshDue = now.Add(d.refresh)
+	}
+}
+
+// restore makes the refresh due now.
+func (d *duties) restore(now time.Time) { d.refreshDue = now }
+
+// outside notes whether items are missing from the log.
+func (d *duties) outside(missing bool, now time.Time) {
+	if !missing {
+		d.outsideSince = time.Time{}
+		d.accepted = false
+		return
+	}
+	if d.outsideSince.IsZero() {
+		d.outsideSince = now
+	}
+}
+
+// upkeep appends what is due.
+func (s *Service) upkeep(ctx context.Context) {
+	s.announceSelf(ctx)
+	s.appendOutside(ctx)
+	s.refresh(ctx)
+	s.removeGone(ctx)
+}
+
+// rankWait returns how long this node leaves a duty to those ranked before it.
+func (s *Service) rankWait(purpose string) time.Duration {
+	return time.Duration(rank(s.Snapshot(), s.o.Self.ID, purpose)) * s.o.Intervals.RankDelay
+}
+
+// appendOutside appends withdrawals and resignations that the log lacks.
+func (s *Service) appendOutside(ctx context.Context) {
+	now := s.o.Now()
+	s.mu.Lock()
+	withdrawn, resigned := s.fold.Outside()
+	s.duties.outside(len(withdrawn)+len(resigned) > 0, now)
+	since, accepted := s.duties.outsideSince, s.duties.accepted
+	s.mu.Unlock()
+	if since.IsZero() || !accepted && now.Before(since.Add(s.rankWait("outside"))) {
+		return
+	}
+	if err := s.appendAll(ctx, outsideRecords(withdrawn, resigned)); err != nil {
+		s.o.Logger.Warn("withdrawals and resignations are not in the log yet", "error", err)
+		return
+	}
+	_ = s.poll(ctx)
+}
+
+func outsideRecords(withdrawn []string, resigned []state.MemberID) []state.Record {
+	var records []state.Record
+	for ids := range slices.Chunk(withdrawn, listChunk) {
+		records = append(records, state.WithdrawRecord{KeyIDs: ids})
+	}
+	for _, id := range resigned {
+		records = append(records, state.EndRecord{ID: id, By: id, Reason: state.EndResigned})
+	}
+	return records
+}
+
+// refresh appends the withdrawals, the issued keys and the configuration again
+// before the log forgets them.
+func (s *Service) refresh(ctx context.Context) {
+	now := s.o.Now()
+	s.mu.Lock()
+	due := s.duties.refreshDue
+	if !s.fold.VersionKnown() {
+		due = due.Add(unknownRefreshes * s.o.Intervals.Refresh)
+	}
+	fresh := s.fold.Offset() == 0
+	s.mu.Unlock()
+	if fresh || now.Before(due) || now.Before(due.Add(s.rankWait("refresh"))) {
+		return
+	}
+	s.mu.Lock()
+	records := refreshRecords(s.fold)
+	s.mu.Unlock()
+	if err := s.appendAll(ctx, records); err != nil {
+		s.o.Logger.Warn("configuration not refreshed", "error", err)
+		return
+	}
+	_ = s.poll(ctx)
+}
+
+// refreshRecords returns the records of a refresh; the configuration is last,
+// since it marks the refresh as done.
+func refreshRecords(f *state.Fold) []state.Record {
+	snap := f.Snapshot()
+	var records []state.Record
+	for ids := range slices.Chunk(slices.Sorted(maps.Keys(snap.Withdrawn)), listChunk) {
+		records = append(records, state.WithdrawRecord{KeyIDs: ids})
+	}
+	for keys := range slices.Chunk(f.IssuedKeys(), listChunk) {
+		records = append(records, state.KeysRecord{Keys: keys})
+	}
+	return append(records, state.RefreshRecord{
+		Version:  snap.Version,
+		ChangeID: snap.ChangeID,
+		File:     snap.File,
+		Seen:     snap.Offset,
+	})
+}
+
+// appendAll appends records whose repetition does no harm.
+func (s *Service) appendAll(ctx context.Context, records []state.Record) error {
+	for _, r := range records {
+		if _, err := s.append(ctx, r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Service) append(ctx context.Context, r state.Record) (uint64, error) {
+	data, err := state.Encode(r)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := s.o.logContext(ctx)
+	defer cancel()
+	return s.o.Log.Append(ctx, data)
+}
--- /dev/null
+++ b/membership/operate.go
@@ -0,0 +1,136 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/gooseberryflow/gooseberryflow/config"
+	"github.com/gooseberryflow/gooseberryflow/platform"
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+// Errors of operators' changes.
+var (
+	// ErrNotSpread reports a change that is in force on this node only: neither
+	// the log nor a peer took it.
+	ErrNotSpread = errors.New("in force on this node only")
+	// ErrKeyExists reports a key ID that has been issued with other contents.
+	ErrKeyExists = errors.New("key ID has been issued before")
+	// ErrKeyWithdrawn reports a key ID that has been withdrawn.
+	ErrKeyWithdrawn = errors.New("key ID has been withdrawn")
+	// ErrNoMember reports an ID that no live member has.
+	ErrNoMember = errors.New("no such member")
+)
+
+// appendTries is the number of times an append without answer is repeated.
+const appendTries = 3
+
+// withdrawFanout is the number of peers that are told of a withdrawal or a
+// resignation by the node that accepts it.
+const withdrawFanout = 8
+
+// IssueKey appends a key and returns once it is in force here.
+func (s *Service) IssueKey(ctx context.Context, key config.Key) error {
+	snap := s.Snapshot()
+	if snap.Withdrawn[key.ID] {
+		return fmt.Errorf("issue key %s: %w", key.ID, ErrKeyWithdrawn)
+	}
+	if have, ok := snap.Keys[key.ID]; ok && have != key {
+		return fmt.Errorf("issue key %s: %w", key.ID, ErrKeyExists)
+	}
+	record := state.KeysRecord{Keys: []state.IssuedKey{state.IssuedKey(key)}}
+	if err := s.appendAndRead(ctx, record); err != nil {
+		return fmt.Errorf("issue key %s: %w", key.ID, err)
+	}
+	if s.Snapshot().Keys[key.ID] != key {
+		return fmt.Errorf("issue key %s: %w", key.ID, ErrKeyExists)
+	}
+	return nil
+}
+
+// Withdraw withdraws a key for good. It takes effect here at once and is passed
+// on to peers; the log gets it now or when it is back.
+func (s *Service) Withdraw(ctx context.Context, keyID string) error {
+	record := state.WithdrawRecord{KeyIDs: []string{keyID}}
+	if _, err := state.Encode(record); err != nil {
+		return fmt.Errorf("withdraw key: %w", err)
+	}
+	s.accept(news{Withdrawn: record.KeyIDs})
+	if err := s.spreadAndAppend(ctx, news{Withdrawn: record.KeyIDs}, record); err != nil {
+		return fmt.Errorf("withdraw key %s: %w", keyID, err)
+	}
+	return nil
+}
+
+// accept merges what an operator or this node says outside the log, and takes
+// on to append it.
+func (s *Service) accept(n news) {
+	s.merge(n)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.duties.accepted = true
+}
+
+// spreadAndAppend passes news on to peers and appends its record. It fails
+// only if both fail.
+func (s *Service) spreadAndAppend(ctx context.Context, n news, r state.Record) error {
+	told := s.spread(ctx, n, withdrawFanout)
+	err := s.appendAndRead(ctx, r)
+	if err == nil || told > 0 {
+		return nil
+	}
+	return fmt.Errorf("%w: %w", ErrNotSpread, err)
+}
+
+// SetDraining starts or stops the draining of a member.
+func (s *Service) SetDraining(ctx context.Context, id state.MemberID, draining bool) error {
+	if _, ok := s.Snapshot().Members[id]; !ok {
+		return fmt.Errorf("drain %s: %w", id, ErrNoMember)
+	}
+	if err := s.appendAndRead(ctx, state.DrainRecord{ID: id, Draining: draining}); err != nil {
+		return fmt.Errorf("drain %s: %w", id, err)
+	}
+	return nil
+}
+
+// Remove ends an incarnation through the log. It fails while the log is away:
+// a member that can still read the log must find its end there.
+func (s *Service) Remove(ctx context.Context, id state.MemberID) error {
+	record := state.EndRecord{ID: id, By: s.o.Self.ID, Reason: state.EndRemoved}
+	if err := s.appendAndRead(ctx, record); err != nil {
+		return fmt.Errorf("remove %s: %w", id, err)
+	}
+	return nil
+}
+
+// Resign ends this incarnation at a planned stop, after its last call. Peers
+// are told at once; the log gets it now or from one of them later.
+func (s *Service) Resign(ctx context.Context) error {
+	self := s.o.Self.ID
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	n := news{Resigned: []state.MemberID{self}}
+	s.accept(n)
+	record := state.EndRecord{ID: self, By: self, Reason: state.EndResigned}
+	if err := s.spreadAndAppend(ctx, n, record); err != nil {
+		return fmt.Errorf("resign: %w", err)
+	}
+	return nil
+}
+
+// appendAndRead appends a record whose repetition does no harm, and reads the
+// log up to it.
+func (s *Service) appendAndRead(ctx context.Context, r state.Record) error {
+	var err error
+	for range appendTries {
+		if _, err = s.append(ctx, r); !errors.Is(err, platform.ErrOutcomeUnknown) {
+			break
+		}
+	}
+	if err != nil {
+		return err
+	}
+	return s.poll(ctx)
+}
--- a/state/fold.go
+++ b/state/fold.go
@@ -48,6 +48,9 @@
 // Offset returns the first offset that has not been applied.
 func (f *Fold) Offset() uint64 { return f.core.Offset }
 
+// Version returns the version of the configuration in force.
+func (f *Fold) Version() uint64 { return f.core.Version }
+
 // LastHash returns the hash of the record at Offset-1; zero means none.
 func (f *Fold) LastHash() uint64 { return f.core.LastHash }
 
@@ -58,21 +61,20 @@
 // Decision returns the judgement on a change, if it is still remembered.
 func (f *Fold) Decision(changeID string) (Decision, bool) { return f.core.decision(changeID) }
 
-// Apply applies the record at an offset and returns why it is void, if it is.
-// An offset below Offset is allowed after the log was rolled back: the record
+// Apply applies the record at an offset. It returns the record, nil if it can't
+// be decoded, and why it is void, if it is. An offset below Offset is allowed after the log was rolled back: the record
 // is applied and Offset stays. An offset beyond Offset gives ErrGap and has no
 // effect; see Skip.
-func (f *Fold) Apply(offset uint64, data []byte, now time.Time) error {
+func (f *Fold) Apply(offset uint64, data []byte, now time.Time) (Record, error) {
 	if offset > f.core.Offset {
-		return fmt.Errorf("%w: offset %d, applied up to %d", ErrGap, offset, f.core.Offset)
+		return nil, fmt.Errorf("%w: offset %d, applied up to %d", ErrGap, offset, f.core.Offset)
 	}
 	rec, err := Decode(data)
 	if err == nil {
-		f.dirty = true
 		err = f.applyRecord(offset, rec, now)
 	}
 	f.core.advance(offset, data)
-	return err
+	return rec, err
 }
 
 func (f *Fold) applyRecord(offset uint64, rec Record, now time.Time) error {
@@ -86,20 +88,26 @@
 		f.install(cfg)
 		return err
 	case KeysRecord:
+		f.dirty = true
 		return f.core.issue(r)
 	case WithdrawRecord:
+		f.dirty = true
 		f.core.withdraw(r)
 		f.forgetWithdrawn(r.KeyIDs)
 		return nil
 	case AnnounceRecord:
+		before := f.core.Members[r.Member.ID]
 		changes, err := f.core.announce(offset, r)
+		f.dirty = f.dirty || f.core.Members[r.Member.ID] != before
 		f.note(changes, now)
 		return err
 	case EndRecord:
 		f.note(f.core.end(offset, r.ID), now)
 		delete(f.resigned, r.ID)
+		f.dirty = true
 		return nil
 	case DrainRecord:
+		f.dirty = true
 		return f.core.drain(offset, r)
 	}
 	panic(fmt.Sprintf("state: no rule for %T", rec))
@@ -108,6 +116,7 @@
 func (f *Fold) install(cfg *config.Config) {
 	if cfg != nil {
 		f.cfg = cfg
+		f.dirty = true
 	}
 }
 
@@ -195,6 +204,15 @@
 	return changed
 }
 
+// IssuedKeys returns the keys issued by key records, ordered by ID.
+func (f *Fold) IssuedKeys() []IssuedKey {
+	var keys []IssuedKey
+	for _, id := range slices.Sorted(maps.Keys(f.core.Keys)) {
+		keys = append(keys, f.core.Keys[id])
+	}
+	return keys
+}
+
 // Outside returns what was learned outside the log and is not in the applied
 // prefix yet, sorted.
 func (f *Fold) Outside() (withdrawn []string, resigned []MemberID) {
--- a/state/transfer.go
+++ b/state/transfer.go
@@ -42,7 +42,8 @@
 	return data, nil
 }
 
-// Adopt replaces the state by a peer's exported one if that is later. What
+// Adopt replaces the state by a peer's exported one if that is later; else it
+// gives an error that wraps ErrOlder. What
 // only ever grows is merged, never dropped. The contact with the log is kept
 // as it is: a peer's word confirms nothing.
 func (f *Fold) Adopt(data []byte, now time.Time) error {
@@ -50,7 +51,7 @@
 	if err != nil {
 		return fmt.Errorf("adopt state: %w", err)
 	}
-	if t.Core.Offset <= f.core.Offset || t.Core.Version < f.core.Version || !t.Core.VersionKnown {
+	if f.ahead(t.Core) {
 		return fmt.Errorf("adopt state at offset %d, version %d: %w", t.Core.Offset, t.Core.Version, ErrOlder)
 	}
 	var cfg *config.Config
@@ -65,6 +66,18 @@
 	return nil
 }
 
+// ahead reports whether another core would take this node back or is of no
+// use. At the same offset it is of use to a node that doesn't know the version.
+func (f *Fold) ahead(other core) bool {
+	if !other.VersionKnown || other.Version < f.core.Version {
+		return true
+	}
+	if f.core.VersionKnown {
+		return other.Offset <= f.core.Offset
+	}
+	return other.Offset < f.core.Offset
+}
+
 func decodeTransfer(data []byte) (transfer, error) {
 	var t transfer
 	if len(data) > MaxStateBytes {
