--- a/state/core_config.go
+++ b/state/core_config.go
@@ -29,9 +29,6 @@
 }
 
 func (c *core) decide(r ConfigRecord, parse Parse) (*config.Config, error) {
-	if d, ok := c.decision(r.ChangeID); ok && d.Accepted() {
-		return nil, fmt.Errorf("change %s is version %d already", r.ChangeID, d.Version)
-	}
 	if r.Base != c.Version {
 		return nil, c.reject(r, fmt.Errorf("it is based on version %d, but version %d is in force", r.Base, c.Version))
 	}
@@ -46,7 +43,12 @@
 	return cfg, nil
 }
 
+// reject remembers that a change is void. The second append of an accepted one
+// is void as well, but the change stays accepted.
 func (c *core) reject(r ConfigRecord, reason error) error {
+	if d, ok := c.decision(r.ChangeID); ok && d.Accepted() {
+		return fmt.Errorf("change %s is version %d already", r.ChangeID, d.Version)
+	}
 	c.remember(Decision{ChangeID: r.ChangeID, Reason: reason.Error()})
 	return fmt.Errorf("change %s is void: %w", r.ChangeID, reason)
 }
--- a/state/transfer.go
+++ b/state/transfer.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return fmt.Errorf("adopt state: %w", err)
 	}
-	if f.ahead(t.Core) {
+	if f.stale(t.Core) {
 		return fmt.Errorf("adopt state at offset %d, version %d: %w", t.Core.Offset, t.Core.Version, ErrOlder)
 	}
 	var cfg *config.Config
@@ -66,9 +66,9 @@
 	return nil
 }
 
-// ahead reports whether another core would take this node back or is of no
+// stale reports whether another core would take this node back or is of no
 // use. At the same offset it is of use to a node that doesn't know the version.
-func (f *Fold) ahead(other core) bool {
+func (f *Fold) stale(other core) bool {
 	if !other.VersionKnown || other.Version < f.core.Version {
 		return true
 	}
