--- a/membership/service.go
+++ b/membership/service.go
@@ -116,7 +116,7 @@
 	}
 	s.ended = true
 	s.o.Logger.Error("incarnation ended", "member", s.o.Self.ID, "reason", reason)
-	go s.o.OnEnded()
+	s.async(s.o.OnEnded)
 }
 
 // active reports whether this incarnation may still be announced. It is
