--- a/membership/duties.go
+++ b/membership/duties.go
@@ -25,6 +25,9 @@
 	// outsideSince is when the first of the items that are not in the log was
 	// learned; zero means that there are none.
 	outsideSince time.Time
+	// reachable is when the log could be read again after failed reads. Waits by
+	// rank begin then, or all nodes would append at once after an outage.
+	reachable time.Time
 	// accepted is set while this node owes the log an item that it accepted.
 	accepted bool
 }
@@ -58,6 +61,15 @@
 	}
 }
 
+// since returns the start of the waits by rank for a duty that fell due at a
+// time.
+func (d *duties) since(due time.Time) time.Time {
+	if d.reachable.After(due) {
+		return d.reachable
+	}
+	return due
+}
+
 // upkeep appends what is due.
 func (s *Service) upkeep(ctx context.Context) {
 	s.announceSelf(ctx)
@@ -77,9 +89,10 @@
 	s.mu.Lock()
 	withdrawn, resigned := s.fold.Outside()
 	s.duties.outside(len(withdrawn)+len(resigned) > 0, now)
-	since, accepted := s.duties.outsideSince, s.duties.accepted
+	missing, accepted := !s.duties.outsideSince.IsZero(), s.duties.accepted
+	since := s.duties.since(s.duties.outsideSince)
 	s.mu.Unlock()
-	if since.IsZero() || !accepted && now.Before(since.Add(s.rankWait("outside"))) {
+	if !missing || !accepted && now.Before(since.Add(s.rankWait("outside"))) {
 		return
 	}
 	if err := s.appendAll(ctx, outsideRecords(withdrawn, resigned)); err != nil {
@@ -110,8 +123,9 @@
 		due = due.Add(unknownRefreshes * s.o.Intervals.Refresh)
 	}
 	fresh := s.fold.Offset() == 0
+	since := s.duties.since(due)
 	s.mu.Unlock()
-	if fresh || now.Before(due) || now.Before(due.Add(s.rankWait("refresh"))) {
+	if fresh || now.Before(due) || now.Before(since.Add(s.rankWait("refresh"))) {
 		return
 	}
 	s.mu.Lock()
--- a/membership/liveness.go
+++ b/membership/liveness.go
@@ -70,7 +70,7 @@
 	var due []state.MemberID
 	for _, m := range domain {
 		since, gone := s.detector.gone(m.ID, domain, now)
-		if gone && !now.Before(since.Add(s.rankWait("remove "+string(m.ID)))) {
+		if gone && !now.Before(s.duties.since(since).Add(s.rankWait("remove "+string(m.ID)))) {
 			due = append(due, m.ID)
 		}
 	}
--- a/membership/poll.go
+++ b/membership/poll.go
@@ -49,12 +49,23 @@
 			return err
 		}
 		if head {
-			s.reader.failing = false
+			s.readSucceeded()
 			return nil
 		}
 	}
 }
 
+func (s *Service) readSucceeded() {
+	if !s.reader.failing {
+		return
+	}
+	s.reader.failing = false
+	s.o.Logger.Info("log can be read again")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.duties.reachable = s.o.Now()
+}
+
 func (s *Service) readFailed(err error) {
 	if !s.reader.failing {
 		s.o.Logger.Warn("log can't be read", "error", err)
