--- a/membership/config_test.go
+++ b/membership/config_test.go
@@ -38,6 +38,11 @@
 	if first.Outcome != SubmitRejected || !strings.Contains(first.Reason, "version 1 is in force") {
 		t.Fatalf("loser: %+v", first)
 	}
+	next := f.logNext()
+	late := f.nodes[0].Submit(context.Background(), []byte("late"), 0, "late")
+	if late.Outcome != SubmitRejected || f.logNext() != next {
+		t.Fatalf("hopeless change: %+v, appended %v", late, f.logNext() != next)
+	}
 	bad := f.nodes[0].Submit(context.Background(), []byte("bad"), 1, "bad")
 	if bad.Outcome != SubmitRejected || !strings.Contains(bad.Reason, "bad file") {
 		t.Fatalf("invalid file: %+v", bad)
@@ -91,19 +96,24 @@
 	f.startAll(6, "west-a", "west-b")
 	f.submit(f.nodes[0], "one", 0)
 	f.run(3 * time.Second)
-	before := f.logNext()
 	f.submit(f.nodes[1], "two", 1)
 	if err := f.nodes[0].Withdraw(context.Background(), "key-1"); err != nil {
 		t.Fatal(err)
 	}
 	f.run(3 * time.Second)
-	f.log.Rollback(streamName, before)
+	// All but the first two announcements is lost.
+	f.log.Rollback(streamName, 2)
 	f.run(time.Minute)
+	alone := f.start("west-a")
+	_ = alone.poll(context.Background())
+	if s := alone.Snapshot(); s.Version != 2 || !s.Withdrawn["key-1"] || len(s.Members) != 6 {
+		t.Errorf("from the log alone: version %d, %d members, withdrawn %v", s.Version, len(s.Members), s.Withdrawn)
+	}
 	fresh := f.start("west-a")
 	f.run(10 * time.Second)
 	for _, n := range f.nodes {
 		s := n.Snapshot()
-		if s.Version != 2 || s.ChangeID != "change-two" || !s.Withdrawn["key-1"] || len(s.Members) != 7 {
+		if s.Version != 2 || s.ChangeID != "change-two" || !s.Withdrawn["key-1"] || len(s.Members) != 8 {
 			t.Errorf("%s: version %d, %d members, withdrawn %v", n.member.ID, s.Version, len(s.Members), s.Withdrawn)
 		}
 	}
@@ -119,6 +129,57 @@
 	}
 }
 
+func TestRolledBackLogIsReadAgain(t *testing.T) {
+	ctx := context.Background()
+	f := newFleet(t, 10)
+	f.startAll(1, "west-a")
+	n := f.nodes[0]
+	f.submit(n, "one", 0)
+	f.submit(n, "two", 1)
+	end := f.logNext()
+	f.log.Rollback(streamName, end-2)
+	f.appendRecord(state.WithdrawRecord{KeyIDs: []string{"other"}})
+	if err := n.poll(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if s := n.Snapshot(); s.Version != 2 || s.Offset != end || !s.Withdrawn["other"] {
+		t.Fatalf("version %d, offset %d, withdrawn %v", s.Version, s.Offset, s.Withdrawn)
+	}
+	// Records of the lost log don't get in through a peer meanwhile.
+	n.merge(news{Records: []wireRecord{{Offset: end, Data: []byte("x")}}})
+	if got := n.Snapshot().Offset; got != end {
+		t.Fatalf("offset %d after a relayed record of another log", got)
+	}
+	f.appendRecord(state.WithdrawRecord{KeyIDs: []string{"late"}})
+	f.appendRecord(state.WithdrawRecord{KeyIDs: []string{"later"}})
+	f.run(2 * time.Second)
+	if s := n.Snapshot(); s.Offset <= end || !s.Withdrawn["late"] || !s.Withdrawn["later"] {
+		t.Fatalf("offset %d, withdrawn %v", s.Offset, s.Withdrawn)
+	}
+}
+
+func TestPeersNoticeDifferentLogs(t *testing.T) {
+	f := newFleet(t, 11)
+	f.startAll(2, "west-a")
+	f.submit(f.nodes[0], "one", 0)
+	f.run(3 * time.Second)
+	// The log loses a record and gets another one in its place between reads.
+	f.log.Rollback(streamName, f.logNext()-1)
+	f.appendRecord(state.WithdrawRecord{KeyIDs: []string{"other"}})
+	f.run(3 * time.Second)
+	if f.nodes[0].Snapshot().Withdrawn["other"] {
+		t.Fatal("reads alone notice the change; the test shows nothing")
+	}
+	fresh := f.start("west-a")
+	_ = fresh.poll(context.Background())
+	f.run(10 * time.Second)
+	for _, n := range f.nodes {
+		if s := n.Snapshot(); s.Version != 1 || !s.Withdrawn["other"] {
+			t.Errorf("%s: version %d, withdrawn %v", n.member.ID, s.Version, s.Withdrawn)
+		}
+	}
+}
+
 func TestRewrittenLogIsNoticed(t *testing.T) {
 	f := newFleet(t, 6)
 	f.startAll(3, "west-a")
@@ -130,13 +191,7 @@
 	f.log.SetFaults(standin.Faults{})
 	f.log.Rollback(streamName, f.logNext()-1)
 	for range 3 {
-		data, err := state.Encode(state.WithdrawRecord{KeyIDs: []string{"other"}})
-		if err != nil {
-			t.Fatal(err)
-		}
-		if _, err := f.log.Stream(streamName).Append(context.Background(), data); err != nil {
-			t.Fatal(err)
-		}
+		f.appendRecord(state.WithdrawRecord{KeyIDs: []string{"other"}})
 	}
 	f.run(30 * time.Second)
 	fresh := f.start("west-a")
@@ -199,6 +254,9 @@
 	f.run(3 * time.Second)
 	f.log.SetFaults(standin.Faults{Down: true})
 	fresh := f.start("west-a", f.nodes[1])
+	if s := fresh.Snapshot(); s.Version != 1 {
+		t.Fatalf("version %d at the start", s.Version)
+	}
 	f.run(5 * time.Second)
 	s := fresh.Snapshot()
 	if s.Version != 1 || len(s.Members) != 4 {
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -243,6 +243,18 @@
 	}
 }
 
+// appendRecord writes a record to the log past all nodes.
+func (f *fleet) appendRecord(r state.Record) {
+	f.t.Helper()
+	data, err := state.Encode(r)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if _, err := f.log.Stream(streamName).Append(context.Background(), data); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
 func (f *fleet) logNext() uint64 {
 	page, err := f.log.Stream(streamName).Read(context.Background(), 0, 1)
 	if err != nil {
--- a/membership/liveness_test.go
+++ b/membership/liveness_test.go
@@ -57,9 +57,10 @@
 
 func TestMinorityRemovesNobody(t *testing.T) {
 	f := newFleet(t, 42)
-	f.startAll(7, "west-a")
+	f.startAll(9, "west-a")
+	// Enough to agree on a suspicion, but no majority.
 	minority := map[state.MemberID]bool{}
-	for _, n := range f.nodes[:2] {
+	for _, n := range f.nodes[:removalReporters+1] {
 		minority[n.member.ID] = true
 	}
 	f.cut = func(a, b *testNode) bool { return minority[a.member.ID] != minority[b.member.ID] }
@@ -71,6 +72,27 @@
 	}
 }
 
+func TestSuspicionNeedsFailuresAndTime(t *testing.T) {
+	d := newDetector(state.Member{ID: "self"}, Intervals{}.withDefaults())
+	start := time.UnixMilli(1_800_000_000_000)
+	for range suspectProbes {
+		d.observe("peer", false, start)
+	}
+	if d.suspected("peer", start.Add(DefaultSuspectAfter-1)) {
+		t.Error("suspected too early")
+	}
+	if !d.suspected("peer", start.Add(DefaultSuspectAfter)) {
+		t.Error("not suspected")
+	}
+	d.observe("peer", true, start)
+	for range suspectProbes - 1 {
+		d.observe("peer", false, start)
+	}
+	if d.suspected("peer", start.Add(DefaultSuspectAfter)) {
+		t.Error("suspected after too few failures since the last answer")
+	}
+}
+
 func TestOneNodesSuspicionIsNotEnough(t *testing.T) {
 	f := newFleet(t, 43)
 	f.startAll(6, "west-a")
@@ -98,6 +120,20 @@
 	}
 }
 
+func TestStatusKnowsMembersByHearsay(t *testing.T) {
+	f := newFleet(t, 46)
+	f.startAll(3, "west-a")
+	f.submit(f.nodes[0], "one", 0)
+	a, c := f.nodes[0], f.nodes[2]
+	f.cut = func(x, y *testNode) bool { return x == a && y == c || x == c && y == a }
+	f.run(DefaultSuspectAfter)
+	for _, st := range a.Status() {
+		if st.Version != 1 || st.Age > 15*time.Second {
+			t.Errorf("%+v", st)
+		}
+	}
+}
+
 func TestStatusShowsVersionsAndLag(t *testing.T) {
 	f := newFleet(t, 45)
 	f.startAll(8, "west-a", "west-b")
