Rate limit: leased shares of each customer's rate over the whole fleet

Cause: a customer's rate and burst count over all instances together, through deaths, pauses, cuts and late messages of nodes.

Ruled out: a static per-node part (a bucket below one token admits nothing, and its sum changes with the roster); leases of tokens only (a message every few tens of ms for each customer and node).

Seen to fail with the mechanism off, on a scratch copy: no wait at takeover, waiting for leases only or for the authority only, no end of authority, lender's lease shorter than the borrower's, no deduplication of asks, no clamp of the pool, credit for grants that were taken up, answers to earlier asks accepted, counting only the latest grant. Each makes TestWindowBoundUnderFaults fail (go test -run Window ./ratelimit, seeds 0 to 23).

--- /dev/null
+++ b/ratelimit/demand.go
@@ -0,0 +1,43 @@
+package ratelimit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// demandWindow is the time constant of the demand estimate.
+	demandWindow = time.Second
+	// demandHeadroom multiplies the estimate when a rate is asked for.
+	demandHeadroom = 1.2
+	// burstWindow is the time for which a lease should buffer the demand.
+	burstWindow = 250 * time.Millisecond
+	// minDemand is the demand, in requests per second, below which a lease is
+	// given back.
+	minDemand = 0.05
+)
+
+// demand estimates the arrival rate by an exponentially decayed count.
+type demand struct {
+	weight float64
+	at     time.Time
+}
+
+func (d *demand) add(now time.Time) {
+	d.weight = d.decayed(now) + 1
+	if now.After(d.at) {
+		d.at = now
+	}
+}
+
+func (d *demand) decayed(now time.Time) float64 {
+	if !now.After(d.at) {
+		return d.weight
+	}
+	return d.weight * math.Exp(-float64(now.Sub(d.at))/float64(demandWindow))
+}
+
+// rate is the estimate in requests per second.
+func (d *demand) rate(now time.Time) float64 {
+	return d.decayed(now) / demandWindow.Seconds()
+}
--- /dev/null
+++ b/ratelimit/entry.go
@@ -0,0 +1,318 @@
+package ratelimit
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/config"
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+// Verdict is what is decided about a request.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Admit means that a token has been spent on the request.
+	Admit Verdict = iota + 1
+	// Wait means that an answer which may bring a token is on its way.
+	Wait
+	// Refuse means that no token is to be had.
+	Refuse
+)
+
+// Decision is a verdict with its terms.
+type Decision struct {
+	Verdict Verdict
+	// Until is the end of the lease that an admitted request's token is from.
+	Until time.Time
+	// RetryAfter is the time until a token is expected, for a refusal.
+	RetryAfter time.Duration
+}
+
+// Entry holds the leases of an entry node and decides on its requests.
+type Entry struct {
+	self   state.Member
+	timing Timing
+	// seq numbers the asks of this node.
+	seq       atomic.Uint64
+	customers sync.Map
+}
+
+// entryCustomer is a customer's leases, one for each failure domain; the first
+// is this node's own domain.
+type entryCustomer struct {
+	mu      sync.Mutex
+	config  *config.Config
+	sources []*source
+	demand  demand
+	waiting int
+}
+
+// source is the pool of one failure domain as seen by an entry node.
+type source struct {
+	domain string
+	lease  lease
+	// pending is the Seq of the ask that waits for its answer; zero if none.
+	pending uint64
+	sent    time.Time
+	owner   state.MemberID
+	// blocked is the time before which no ask is sent.
+	blocked time.Time
+}
+
+// Stands reports whether an admission decided at one time still stands at the
+// time when the request goes on; the process may have been paused in between.
+func (d Decision) Stands(decided, now time.Time, t Timing) bool {
+	return now.Before(d.Until) && now.Sub(decided) <= t.Stall
+}
+
+// NewEntry returns an entry node without leases.
+func NewEntry(self state.Member, t Timing) *Entry {
+	return &Entry{self: self, timing: t}
+}
+
+// Arrive decides on a new request and returns the asks to send.
+func (e *Entry) Arrive(snap *state.Snapshot, customer string, now time.Time) (Decision, []OutgoingAsk) {
+	c := e.customer(customer)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.demand.add(now)
+	if d, ok := c.take(now); ok {
+		return d, nil
+	}
+	c.follow(snap, e.self.Domain)
+	c.waiting++
+	asks := e.asks(c, snap, customer, now)
+	if !c.expects(now, e.timing) {
+		c.waiting--
+		return c.refusal(now, e.timing), asks
+	}
+	return Decision{Verdict: Wait}, asks
+}
+
+// Retry decides again on a request that was told to wait. Last ends the wait.
+func (e *Entry) Retry(snap *state.Snapshot, customer string, last bool, now time.Time) (Decision, []OutgoingAsk) {
+	c := e.customer(customer)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if d, ok := c.take(now); ok {
+		c.waiting--
+		return d, nil
+	}
+	asks := e.asks(c, snap, customer, now)
+	if last || !c.expects(now, e.timing) {
+		c.waiting--
+		return c.refusal(now, e.timing), asks
+	}
+	return Decision{Verdict: Wait}, asks
+}
+
+func (e *Entry) customer(name string) *entryCustomer {
+	if c, ok := e.customers.Load(name); ok {
+		return c.(*entryCustomer)
+	}
+	c, _ := e.customers.LoadOrStore(name, &entryCustomer{})
+	return c.(*entryCustomer)
+}
+
+// take spends a token of any lease.
+func (c *entryCustomer) take(now time.Time) (Decision, bool) {
+	for _, s := range c.sources {
+		if s.lease.take(now) {
+			return Decision{Verdict: Admit, Until: s.lease.expires}, true
+		}
+	}
+	return Decision{}, false
+}
+
+// follow takes over the list of failure domains of the configuration in force.
+func (c *entryCustomer) follow(snap *state.Snapshot, own string) {
+	if c.config == snap.Config || snap.Config == nil {
+		return
+	}
+	c.config = snap.Config
+	kept := make(map[string]*source)
+	for _, s := range c.sources {
+		kept[s.domain] = s
+	}
+	c.sources = nil
+	for _, d := range snap.Config.FailureDomains {
+		s := kept[d]
+		if s == nil {
+			s = &source{domain: d}
+		}
+		c.sources = append(c.sources, s)
+		if last := len(c.sources) - 1; d == own && last > 0 {
+			c.sources[0], c.sources[last] = c.sources[last], c.sources[0]
+		}
+	}
+}
+
+// asks asks the home pool, or the others when the home pool has nothing or
+// does not answer. The others are asked one at a time.
+func (e *Entry) asks(c *entryCustomer, snap *state.Snapshot, customer string, now time.Time) []OutgoingAsk {
+	for i, s := range c.sources {
+		if s.pending != 0 && now.Sub(s.sent) < e.timing.AskTimeout {
+			if now.Sub(s.sent) < e.timing.Wait {
+				return nil
+			}
+			continue
+		}
+		if now.Before(s.blocked) {
+			continue
+		}
+		if ask, ok := e.ask(c, i, snap, customer, now); ok {
+			return []OutgoingAsk{ask}
+		}
+	}
+	return nil
+}
+
+// ask lowers the lease to what is wanted and makes the ask that says so.
+func (e *Entry) ask(c *entryCustomer, i int, snap *state.Snapshot, customer string, now time.Time) (OutgoingAsk, bool) {
+	s := c.sources[i]
+	owner, ok := poolOwner(snap.Domain(s.domain), customer)
+	if !ok {
+		s.blocked = now.Add(e.timing.MaxRetry)
+		return OutgoingAsk{}, false
+	}
+	s.lease.fill(now)
+	wantRate, wantBurst := c.want(s, now)
+	returned := s.lease.lower(wantRate, wantBurst)
+	s.pending = e.seq.Add(1)
+	s.sent = now
+	s.owner = owner.ID
+	return OutgoingAsk{To: owner, Domain: s.domain, Ask: Ask{
+		Customer:  customer,
+		Seq:       s.pending,
+		Holding:   s.lease.seq,
+		Rate:      float32(s.lease.rate),
+		Burst:     float32(s.lease.burst),
+		Level:     float32(s.lease.level),
+		Returned:  returned,
+		WantRate:  float32(wantRate),
+		WantBurst: float32(wantBurst),
+	}}, true
+}
+
+// want is the demand that the other leases do not cover.
+func (c *entryCustomer) want(s *source, now time.Time) (rate, burst float64) {
+	rate = c.demand.rate(now)
+	if rate < minDemand && c.waiting == 0 {
+		return 0, 0
+	}
+	rate *= demandHeadroom
+	for _, o := range c.sources {
+		if o != s {
+			o.lease.fill(now)
+			rate -= o.lease.rate
+		}
+	}
+	rate = max(0, rate)
+	if rate == 0 && c.waiting == 0 {
+		return 0, 0
+	}
+	return rate, 1 + rate*burstWindow.Seconds() + float64(c.waiting)
+}
+
+// expects reports whether an answer may arrive within the wait of a request.
+func (c *entryCustomer) expects(now time.Time, t Timing) bool {
+	for _, s := range c.sources {
+		if s.pending != 0 && now.Sub(s.sent) < t.Wait {
+			return true
+		}
+	}
+	return false
+}
+
+// refusal estimates when the next token comes.
+func (c *entryCustomer) refusal(now time.Time, t Timing) Decision {
+	wait := t.MaxRetry
+	for _, s := range c.sources {
+		if d, ok := s.lease.tokenIn(); ok {
+			wait = min(wait, d)
+		}
+		if now.Before(s.blocked) {
+			wait = min(wait, s.blocked.Sub(now))
+		}
+	}
+	return Decision{Verdict: Refuse, RetryAfter: max(wait, time.Millisecond)}
+}
+
+// Granted takes in the answer to an ask. Only the answer to the latest ask
+// counts: a later ask has given up the earlier.
+func (e *Entry) Granted(domain, customer string, from state.MemberID, g Grant, now time.Time) {
+	c := e.customer(customer)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.source(domain)
+	if s == nil || s.pending == 0 || s.pending != g.Seq || s.owner != from {
+		return
+	}
+	s.pending = 0
+	if g.NotOwner {
+		s.blocked = now.Add(e.timing.AskTimeout)
+		return
+	}
+	if g.RetryMS > 0 {
+		s.blocked = now.Add(time.Duration(g.RetryMS) * time.Millisecond)
+	}
+	if g.DurationMS > 0 {
+		s.lease.replace(g, from, e.timing, s.sent, now)
+	}
+}
+
+// Failed takes in that an ask got no answer.
+func (e *Entry) Failed(domain, customer string, seq uint64, now time.Time) {
+	c := e.customer(customer)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.source(domain)
+	if s == nil || s.pending != seq {
+		return
+	}
+	s.pending = 0
+	s.blocked = now.Add(e.timing.MaxRetry / leaseRetryPart)
+}
+
+func (c *entryCustomer) source(domain string) *source {
+	for _, s := range c.sources {
+		if s.domain == domain {
+			return s
+		}
+	}
+	return nil
+}
+
+// Tick returns the asks that renew or give back leases.
+func (e *Entry) Tick(snap *state.Snapshot, now time.Time) []OutgoingAsk {
+	var out []OutgoingAsk
+	e.customers.Range(func(key, value any) bool {
+		c := value.(*entryCustomer)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.follow(snap, e.self.Domain)
+		for i, s := range c.sources {
+			if !s.renewalDue(now, e.timing) {
+				continue
+			}
+			if ask, ok := e.ask(c, i, snap, key.(string), now); ok {
+				out = append(out, ask)
+			}
+		}
+		return true
+	})
+	return out
+}
+
+// renewalDue is true for a rate lease of the age of renewal. A lease without a
+// rate is left to lapse.
+func (s *source) renewalDue(now time.Time, t Timing) bool {
+	s.lease.fill(now)
+	if s.lease.rate == 0 || now.Before(s.lease.renewAt) {
+		return false
+	}
+	return s.pending == 0 || now.Sub(s.sent) >= t.AskTimeout
+}
--- /dev/null
+++ b/ratelimit/lease.go
@@ -0,0 +1,103 @@
+package ratelimit
+
+import (
+	"math"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+// lease is an entry node's part of one pool: a token bucket with an end.
+type lease struct {
+	seq         uint64
+	owner       state.MemberID
+	rate, burst float64
+	level       float64
+	at          time.Time
+	expires     time.Time
+	renewAt     time.Time
+}
+
+// fill adds the tokens that the lease has brought up to now.
+func (l *lease) fill(now time.Time) {
+	if !now.Before(l.expires) {
+		l.end()
+		return
+	}
+	if now.After(l.at) {
+		l.level = min(l.burst, l.level+l.rate*now.Sub(l.at).Seconds())
+		l.at = now
+	}
+}
+
+// end makes the lease void for good. Its seq is kept: it tells the owner that
+// the grant was taken up, so that its tokens may have been spent.
+func (l *lease) end() {
+	l.rate, l.burst, l.level = 0, 0, 0
+}
+
+// take spends one token.
+func (l *lease) take(now time.Time) bool {
+	l.fill(now)
+	if l.level < 1 {
+		return false
+	}
+	l.level--
+	return true
+}
+
+// lower gives up what is not wanted and returns the surplus tokens.
+func (l *lease) lower(wantRate, wantBurst float64) float32 {
+	l.rate = min(l.rate, float64(float32down(wantRate)))
+	l.burst = min(l.burst, float64(float32down(wantBurst)))
+	surplus := max(0, l.level-l.burst)
+	l.level -= surplus
+	return float32down(surplus)
+}
+
+// replace puts a grant in the place of the lease. Sent is the time before the
+// ask was sent.
+func (l *lease) replace(g Grant, owner state.MemberID, t Timing, sent, now time.Time) {
+	l.fill(now)
+	expires := sent.Add(time.Duration(g.DurationMS) * time.Millisecond)
+	if !now.Before(expires) {
+		l.end()
+		return
+	}
+	shrunk := float64(g.Rate) < l.rate || float64(g.Burst) < l.burst
+	kept := l.level
+	if l.owner != owner {
+		kept = 0
+	}
+	l.seq = g.Seq
+	l.owner = owner
+	l.rate = float64(g.Rate)
+	l.burst = float64(g.Burst)
+	l.level = min(l.burst, kept+float64(g.Tokens))
+	l.at = now
+	l.expires = expires
+	l.renewAt = sent.Add(min(t.Renew, expires.Sub(sent)/2))
+	if shrunk {
+		l.renewAt = now.Add(t.MinRetry)
+	}
+}
+
+// tokenIn is the time until the bucket holds a token; ok is false if it never
+// will.
+func (l *lease) tokenIn() (d time.Duration, ok bool) {
+	if l.rate <= 0 || l.burst < 1 {
+		return 0, false
+	}
+	s := max(0, 1-l.level) / l.rate
+	return time.Duration(s * float64(time.Second)), true
+}
+
+// float32down rounds a positive value towards zero, so that neither side of a
+// lease assumes more than the message tells.
+func float32down(x float64) float32 {
+	f := float32(x)
+	if float64(f) > x {
+		return math.Nextafter32(f, 0)
+	}
+	return f
+}
--- /dev/null
+++ b/ratelimit/naive.go
@@ -0,0 +1,88 @@
+package ratelimit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+)
+
+// NaiveName is the name of the baseline plug-in in the settings.
+const NaiveName = "naive-rate"
+
+func init() {
+	kernel.Register(kernel.Info{Name: NaiveName, Order: chainOrder, New: func() kernel.Plugin { return &Naive{} }})
+}
+
+// Naive gives every node a static 1/n of each customer's rate and burst, at
+// least one token deep. It is the baseline for measurements.
+type Naive struct {
+	host    *kernel.Host
+	buckets sync.Map
+}
+
+type naiveBucket struct {
+	mu    sync.Mutex
+	level float64
+	at    time.Time
+}
+
+// Provision keeps the host.
+func (p *Naive) Provision(h *kernel.Host) error {
+	p.host = h
+	return nil
+}
+
+// Validate has nothing to check.
+func (p *Naive) Validate() error { return nil }
+
+// Cleanup has nothing to release.
+func (p *Naive) Cleanup() error { return nil }
+
+// WrapEntry limits root requests of customers.
+func (p *Naive) WrapEntry(next kernel.Handler) kernel.Handler {
+	return kernel.HandlerFunc(func(ctx context.Context, c *kernel.Call) *kernel.Result {
+		if c.Customer == "" || c.Nested() || p.admit(c.Customer) {
+			return next.Serve(ctx, c)
+		}
+		return kernel.Refuse(kernel.ReasonRate, "rate limit of customer "+c.Customer, time.Second)
+	})
+}
+
+func (p *Naive) admit(customer string) bool {
+	snap := p.host.Snapshot()
+	limit, ok := snap.Customer(customer)
+	if !ok {
+		return false
+	}
+	n := float64(max(1, len(snap.Members)))
+	return p.bucket(customer).take(limit.Rate/n, max(1, limit.Burst/n), p.host.Now())
+}
+
+func (p *Naive) bucket(customer string) *naiveBucket {
+	if b, ok := p.buckets.Load(customer); ok {
+		return b.(*naiveBucket)
+	}
+	b, _ := p.buckets.LoadOrStore(customer, &naiveBucket{})
+	return b.(*naiveBucket)
+}
+
+// take spends a token of a bucket that starts full.
+func (b *naiveBucket) take(rate, burst float64, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.at.IsZero() {
+		b.level = burst
+		b.at = now
+	}
+	if now.After(b.at) {
+		b.level = min(burst, b.level+rate*now.Sub(b.at).Seconds())
+		b.at = now
+	}
+	if b.level < 1 {
+		return false
+	}
+	b.level--
+	return true
+}
--- /dev/null
+++ b/ratelimit/tenure.go
@@ -0,0 +1,354 @@
+package ratelimit
+
+import (
+	"sync"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+// Tenure decides from when and until when this node may act as the owner of a
+// pool of its failure domain, so that no two nodes do at once.
+//
+// The owner acts until its last contact plus Timing.Contact. A contact is a
+// read of the log's head, or, while the log is away, a confirmation by three
+// quarters of the domain's roster that they see the same roster. A successor
+// first has a majority of its roster promise not to confirm the old roster any
+// more, then waits until the authority and the leases of its predecessors have
+// ended.
+type Tenure struct {
+	mu      sync.Mutex
+	self    state.MemberID
+	domain  string
+	timing  Timing
+	snap    *state.Snapshot
+	roster  []state.Member
+	digest  uint64
+	lastSeq uint64
+	// advanced is set when the latest snapshot brought new events.
+	advanced bool
+	// owned are the customers whose pool falls to this node.
+	owned map[string]bool
+	// handovers are the takeovers that this node has not completed, by
+	// customer.
+	handovers map[string]*handover
+	// quorumAt is when the latest successful confirmation round began.
+	quorumAt time.Time
+	// promises are the takeovers acknowledged to others.
+	promises []promise
+	poll     pollRound
+	rounds   uint64
+}
+
+// handover is a change that has made this node the owner of a pool which
+// another node may still be acting for.
+type handover struct {
+	at time.Time
+	// promised is when a majority had promised; zero until then.
+	promised time.Time
+}
+
+// promise holds until this node has read the log's head after it.
+type promise struct {
+	digest uint64
+	at     time.Time
+}
+
+// pollRound is a poll of the domain's roster in progress.
+type pollRound struct {
+	round    uint64
+	digest   uint64
+	takeover bool
+	sent     time.Time
+	acks     map[state.MemberID]bool
+	done     bool
+}
+
+// NewTenure returns a tenure that has seen no snapshot.
+func NewTenure(self state.Member, t Timing) *Tenure {
+	return &Tenure{self: self.ID, domain: self.Domain, timing: t, handovers: map[string]*handover{}}
+}
+
+// Observe takes in a snapshot. A pool that this node has not owned all the
+// time since the snapshot before, as far as it can tell, is to be taken over.
+func (t *Tenure) Observe(snap *state.Snapshot, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if snap == t.snap {
+		return
+	}
+	missed := t.missed(snap)
+	ended := t.newlyEnded(snap)
+	roster := snap.Domain(t.domain)
+	digest := rosterDigest(roster)
+	missed = missed || digest != t.digest && !t.advanced
+	changed := t.snap == nil || digest != t.digest || snap.Config != t.snap.Config
+	t.snap, t.roster, t.digest = snap, roster, digest
+	if !changed && len(ended) == 0 && !missed {
+		return
+	}
+	before := t.owned
+	t.owned = t.findOwned()
+	t.updateHandovers(before, ended, missed, now)
+}
+
+func (t *Tenure) updateHandovers(before map[string]bool, ended []state.MemberID, missed bool, now time.Time) {
+	for customer := range t.handovers {
+		if !t.owned[customer] {
+			delete(t.handovers, customer)
+		}
+	}
+	for customer := range t.owned {
+		if missed || !before[customer] || t.outrankedByAny(ended, customer) {
+			t.handovers[customer] = &handover{at: now}
+		}
+	}
+}
+
+func contains(roster []state.Member, id state.MemberID) bool {
+	for _, m := range roster {
+		if m.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// missed reports a gap between the events seen and those of the snapshot.
+func (t *Tenure) missed(snap *state.Snapshot) bool {
+	if t.snap == nil || len(snap.Events) == 0 {
+		return false
+	}
+	return snap.Events[0].Seq > t.lastSeq+1
+}
+
+// newlyEnded walks the new events in log order.
+func (t *Tenure) newlyEnded(snap *state.Snapshot) []state.MemberID {
+	var ended []state.MemberID
+	before := t.lastSeq
+	for _, ev := range snap.Events {
+		if ev.Seq <= t.lastSeq {
+			continue
+		}
+		t.lastSeq = ev.Seq
+		if ev.Ended && ev.Member.ID != t.self && ev.Member.Domain == t.domain {
+			ended = append(ended, ev.Member.ID)
+		}
+	}
+	t.advanced = t.lastSeq != before
+	return ended
+}
+
+func (t *Tenure) findOwned() map[string]bool {
+	owned := map[string]bool{}
+	if t.snap.Config == nil || !contains(t.roster, t.self) {
+		return owned
+	}
+	for _, c := range t.snap.Config.Customers {
+		if m, ok := poolOwner(t.roster, c.Name); ok && m.ID == t.self {
+			owned[c.Name] = true
+		}
+	}
+	return owned
+}
+
+// outrankedByAny reports whether one of the members may have been the owner of
+// the customer's pool.
+func (t *Tenure) outrankedByAny(members []state.MemberID, customer string) bool {
+	own := weight(string(t.self), customer)
+	for _, m := range members {
+		if weight(string(m), customer) >= own {
+			return true
+		}
+	}
+	return false
+}
+
+// Pools returns the customers whose pool this node has taken over. It may make
+// grants from them while it also has Authority.
+func (t *Tenure) Pools(now time.Time) map[string]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.dropCompleted(now)
+	taken := make(map[string]bool, len(t.owned))
+	for customer := range t.owned {
+		if t.handovers[customer] == nil {
+			taken[customer] = true
+		}
+	}
+	return taken
+}
+
+// Authority reports whether this node is known not to have been replaced as
+// the owner of its pools.
+func (t *Tenure) Authority(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.authority())
+}
+
+// authority is the end of the time for which this node is known not to have
+// been replaced.
+func (t *Tenure) authority() time.Time {
+	contact := t.snap.Contact
+	if t.quorumAt.After(contact) {
+		contact = t.quorumAt
+	}
+	return contact.Add(t.timing.Contact)
+}
+
+// Tick drops completed takeovers and returns the polls to send.
+func (t *Tenure) Tick(now time.Time) []OutgoingPoll {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.snap == nil || len(t.owned) == 0 {
+		return nil
+	}
+	t.dropCompleted(now)
+	takeover := t.awaitsPromise()
+	if !takeover && now.Before(t.authority().Add(-t.timing.Contact*2/3)) {
+		return nil
+	}
+	if now.Sub(t.poll.sent) < t.pollInterval() && t.poll.takeover == takeover && t.poll.digest == t.digest {
+		return nil
+	}
+	return t.begin(takeover, now)
+}
+
+// pollInterval gives a confirmation three tries before the authority ends.
+func (t *Tenure) pollInterval() time.Duration { return t.timing.Contact / 4 }
+
+func (t *Tenure) dropCompleted(now time.Time) {
+	for customer, h := range t.handovers {
+		if !h.promised.IsZero() && !now.Before(h.promised.Add(t.timing.takeoverWait())) {
+			delete(t.handovers, customer)
+		}
+	}
+}
+
+func (t *Tenure) awaitsPromise() bool {
+	for _, h := range t.handovers {
+		if h.promised.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Tenure) begin(takeover bool, now time.Time) []OutgoingPoll {
+	t.rounds++
+	t.poll = pollRound{
+		round:    t.rounds,
+		digest:   t.digest,
+		takeover: takeover,
+		sent:     now,
+		acks:     map[state.MemberID]bool{},
+	}
+	msg := Poll{Digest: t.digest, Round: t.rounds, Takeover: takeover}
+	out := make([]OutgoingPoll, 0, len(t.roster))
+	for _, m := range t.roster {
+		if m.ID != t.self {
+			out = append(out, OutgoingPoll{To: m, Poll: msg})
+		}
+	}
+	if t.answer(msg, now) {
+		t.count(t.self, now)
+	}
+	return out
+}
+
+// Answer answers a poll of another node.
+func (t *Tenure) Answer(p Poll, now time.Time) PollAnswer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return PollAnswer{Round: p.Round, OK: t.answer(p, now)}
+}
+
+func (t *Tenure) answer(p Poll, now time.Time) bool {
+	if t.snap == nil {
+		return false
+	}
+	t.dropPromises()
+	if p.Takeover {
+		return t.promise(p.Digest, now)
+	}
+	if p.Digest != t.digest {
+		return false
+	}
+	for _, pr := range t.promises {
+		if pr.digest != p.Digest {
+			return false
+		}
+	}
+	return true
+}
+
+// maxPromises bounds the promises kept between two reads of the log's head.
+const maxPromises = 64
+
+// promise records a takeover; an equal one is only moved in time.
+func (t *Tenure) promise(digest uint64, now time.Time) bool {
+	for i := range t.promises {
+		if t.promises[i].digest == digest {
+			t.promises[i].at = now
+			return true
+		}
+	}
+	if len(t.promises) == maxPromises {
+		return false
+	}
+	t.promises = append(t.promises, promise{digest: digest, at: now})
+	return true
+}
+
+// dropPromises drops those made before the last read of the log's head: the
+// snapshot then contains the change that led to them.
+func (t *Tenure) dropPromises() {
+	kept := t.promises[:0]
+	for _, p := range t.promises {
+		if !t.snap.Contact.After(p.at) {
+			kept = append(kept, p)
+		}
+	}
+	t.promises = kept
+}
+
+// Answered takes in the answer of a member.
+func (t *Tenure) Answered(from state.MemberID, a PollAnswer, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if a.OK && a.Round == t.poll.round {
+		t.count(from, now)
+	}
+}
+
+func (t *Tenure) count(from state.MemberID, now time.Time) {
+	p := &t.poll
+	if p.done || p.digest != t.digest || !contains(t.roster, from) {
+		return
+	}
+	p.acks[from] = true
+	if len(p.acks) < quorum(len(t.roster), p.takeover) {
+		return
+	}
+	p.done = true
+	if !p.takeover {
+		t.quorumAt = p.sent
+		return
+	}
+	for _, h := range t.handovers {
+		if h.promised.IsZero() && !h.at.After(p.sent) {
+			h.promised = now
+		}
+	}
+}
+
+// quorum is a majority for a takeover and three quarters for a confirmation:
+// the two share a member also when up to a quarter of the roster has been
+// replaced between them.
+func quorum(n int, takeover bool) int {
+	if takeover {
+		return n/2 + 1
+	}
+	return (3*n + 3) / 4
+}
--- /dev/null
+++ b/ratelimit/timing.go
@@ -0,0 +1,48 @@
+package ratelimit
+
+import "time"
+
+// Timing holds the intervals of the lease protocol.
+type Timing struct {
+	// Lease is the length of a rate lease, Take that of a single token.
+	Lease, Take time.Duration
+	// Renew is the age at which a lease is renewed.
+	Renew time.Duration
+	// Contact is how long an owner may act after its last contact with the
+	// log or with a quorum of its failure domain.
+	Contact time.Duration
+	// AskTimeout is when an unanswered ask is given up.
+	AskTimeout time.Duration
+	// MinRetry and MaxRetry bound the pause between asks that got nothing.
+	MinRetry, MaxRetry time.Duration
+	// Wait bounds the time for which a request waits for an answer.
+	Wait time.Duration
+	// Stall is the longest time between reading the clock and admitting.
+	Stall time.Duration
+}
+
+// DefaultTiming is used by the plug-in.
+var DefaultTiming = Timing{
+	Lease:      2 * time.Second,
+	Take:       100 * time.Millisecond,
+	Renew:      time.Second,
+	Contact:    3 * time.Second,
+	AskTimeout: 100 * time.Millisecond,
+	MinRetry:   20 * time.Millisecond,
+	MaxRetry:   time.Second,
+	Wait:       5 * time.Millisecond,
+	Stall:      10 * time.Millisecond,
+}
+
+// driftAllowance is added by the lender to the length of a lease: 2 % and
+// 5 ms cover the difference in rate of two clocks.
+func driftAllowance(d time.Duration) time.Duration {
+	return d/50 + 5*time.Millisecond
+}
+
+// takeoverWait is the time from the end of the previous owner's authority to
+// the first grant of the next: no lease of the previous owner outlives it.
+func (t Timing) takeoverWait() time.Duration {
+	d := t.Contact + t.Lease
+	return d + driftAllowance(d)
+}
--- /dev/null
+++ b/ratelimit/window_test.go
@@ -0,0 +1,197 @@
+package ratelimit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/gooseberryflow/gooseberryflow/config"
+)
+
+func encodedSize(msg any) int {
+	b, err := cbor.Marshal(msg)
+	if err != nil {
+		panic(err)
+	}
+	return len(b)
+}
+
+// excess returns by how many tokens the admissions exceed burst + rate*t over
+// the worst window; rateAt is the rate at a time.
+func excess(times []time.Duration, burst float64, rateAt func(time.Duration) float64) float64 {
+	worst, used := 0.0, 0.0
+	var last time.Duration
+	for _, t := range times {
+		used = max(0, used-rateAt(t)*(t-last).Seconds()) + 1
+		last = t
+		worst = max(worst, used-burst)
+	}
+	return worst
+}
+
+var testDomains = []string{"evora-a", "evora-b", "beja-a"}
+
+var testCustomers = []config.Customer{
+	{Name: "small", Rate: 10, Burst: 3},
+	{Name: "middle", Rate: 100, Burst: 60},
+	{Name: "large", Rate: 300, Burst: 400},
+	{Name: "single", Rate: 5, Burst: 1},
+}
+
+const seedCount = 24
+
+// TestWindowBoundUnderFaults drives a fleet through random faults and checks
+// that no customer exceeds its rate and burst over any window.
+func TestWindowBoundUnderFaults(t *testing.T) {
+	for seed := range uint64(seedCount) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(seed, testDomains, 4, testCustomers)
+			f.faults = messageFaults{lost: 0.01, duplicated: 0.05, late: 0.02}
+			const length = 120 * time.Second
+			load := []float64{0.5, 0.9, 2}[seed%3]
+			for _, c := range testCustomers {
+				f.arrivals(c.Name, load*c.Rate, length, f.anyLive)
+			}
+			f.at(time.Second, nil, func() { f.nextFlash(length) })
+			f.at(time.Second, nil, func() { f.nextFault(length) })
+			f.watch(t, seed)
+			f.run(length)
+			total := 0
+			for _, c := range testCustomers {
+				times := f.admitted[c.Name]
+				total += len(times)
+				if x := excess(times, c.Burst, func(time.Duration) float64 { return c.Rate }); x > 1e-6 {
+					t.Errorf("seed %d: %s exceeds its rate and burst by %.2f requests", seed, c.Name, x)
+				}
+			}
+			if total < 1000 {
+				t.Errorf("seed %d: %d requests admitted; the run shows nothing", seed, total)
+			}
+		})
+	}
+}
+
+// watch checks again and again that the leases in use, with the open pools,
+// stay within every customer's rate and burst. This finds faults of the
+// protocol that the arrivals of a run happen not to turn into an excess.
+func (f *fleet) watch(t *testing.T, seed uint64) {
+	for _, c := range testCustomers {
+		rate, burst := f.spendable(c.Name)
+		if rate > c.Rate*(1+1e-6) || burst > c.Burst+1e-3 {
+			t.Errorf("seed %d at %v: %s could spend at rate %.2f, burst %.2f", seed, f.now, c.Name, rate, burst)
+			return
+		}
+	}
+	f.at(f.now+5*time.Millisecond, nil, func() { f.watch(t, seed) })
+}
+
+// spendable sums the leases that their holders would use now and the tokens of
+// the pools whose owners would grant them now.
+func (f *fleet) spendable(customer string) (rate, burst float64) {
+	for _, n := range f.nodes {
+		if n.dead {
+			continue
+		}
+		now := f.clock(n)
+		for _, s := range n.entry.customer(customer).sources {
+			if now.Before(s.lease.expires) {
+				rate += s.lease.rate
+				burst += s.lease.burst
+			}
+		}
+		l := n.pools.ledgers[customer]
+		if l != nil && n.pools.tenure.Authority(now) {
+			burst += l.level
+		}
+	}
+	return rate, burst
+}
+
+// nextFault injects a random fault and schedules the next.
+func (f *fleet) nextFault(until time.Duration) {
+	if f.now > until {
+		return
+	}
+	faults := []func(){f.kill, f.evict, f.pause, f.cutDomains, f.cutLog, f.cutNodeLog}
+	faults[f.rnd.IntN(len(faults))]()
+	f.at(f.now+f.between(200*time.Millisecond, 8*time.Second), nil, func() { f.nextFault(until) })
+}
+
+// kill ends a process; its replacement announces itself and the end.
+func (f *fleet) kill() {
+	n := f.anyLive()
+	n.dead = true
+	f.replace(n)
+}
+
+// evict removes a live node from the roster; the process goes on.
+func (f *fleet) evict() {
+	n := f.anyLive()
+	f.replace(n)
+	f.at(f.now+f.between(5*time.Second, 15*time.Second), nil, func() { n.dead = true })
+}
+
+func (f *fleet) replace(n *simNode) {
+	f.at(f.now+f.between(0, 3*time.Second), nil, func() {
+		if f.ended[n.member.ID] {
+			return
+		}
+		f.announce(n.member, true)
+		f.start(n.member.Domain)
+		f.flash(testCustomers[f.rnd.IntN(len(testCustomers))])
+	})
+}
+
+// pause stops a node, offers it requests that it decides on when it resumes,
+// and offers the same to the others.
+func (f *fleet) pause() {
+	n := f.anyLive()
+	n.paused = f.now + f.between(50*time.Millisecond, 10*time.Second)
+	c := testCustomers[f.rnd.IntN(len(testCustomers))]
+	f.flashAt(n, c, n.paused)
+	f.at(n.paused, nil, func() { f.flash(c) })
+}
+
+// nextFlash makes demand jump for one customer, again and again: the pools are
+// full in between.
+func (f *fleet) nextFlash(until time.Duration) {
+	if f.now > until {
+		return
+	}
+	f.flash(testCustomers[f.rnd.IntN(len(testCustomers))])
+	f.at(f.now+f.between(100*time.Millisecond, 1500*time.Millisecond), nil, func() { f.nextFlash(until) })
+}
+
+func (f *fleet) flash(c config.Customer) {
+	for _, n := range f.nodes {
+		f.flashAt(n, c, f.now)
+	}
+}
+
+func (f *fleet) flashAt(n *simNode, c config.Customer, at time.Duration) {
+	for range int(c.Burst/8) + 2 {
+		f.at(at+f.between(0, 30*time.Millisecond), n, func() { f.request(n, c.Name) })
+	}
+}
+
+func (f *fleet) cutDomains() {
+	a := testDomains[f.rnd.IntN(len(testDomains))]
+	b := testDomains[f.rnd.IntN(len(testDomains))]
+	f.cut[link(a, b)] = true
+	f.at(f.now+f.between(time.Second, 8*time.Second), nil, func() { delete(f.cut, link(a, b)) })
+}
+
+func (f *fleet) cutLog() {
+	d := testDomains[f.rnd.IntN(len(testDomains))]
+	f.noLog[d] = true
+	f.at(f.now+f.between(time.Second, 15*time.Second), nil, func() { delete(f.noLog, d) })
+}
+
+func (f *fleet) cutNodeLog() {
+	n := f.anyLive()
+	n.noLog = true
+	f.at(f.now+f.between(time.Second, 15*time.Second), nil, func() { n.noLog = false })
+}
