Rate limit: lease part of the demand, fetch the rest in tokens ahead of need

Cause: against a central bucket on the same arrivals, leases of the whole demand kept tokens where the demand had been.

Ruled out: longer leases; a token per request (one round trip per request).

Change: 0.7 of the demand is leased as a rate, the rest is fetched in tokens before the bucket is empty; a lease far above the demand is given back at once; the estimate of demand drops as soon as the arrivals stop.

--- a/ratelimit/demand.go
+++ b/ratelimit/demand.go
@@ -8,10 +8,11 @@
 const (
 	// demandWindow is the time constant of the demand estimate.
 	demandWindow = time.Second
-	// demandHeadroom multiplies the estimate when a rate is asked for.
-	demandHeadroom = 1.2
+	// idleArrivals bounds the estimate by this number of arrivals in the time
+	// since the last one, so that it drops soon when the arrivals stop.
+	idleArrivals = 3
 	// burstWindow is the time for which a lease should buffer the demand.
-	burstWindow = 250 * time.Millisecond
+	burstWindow = 100 * time.Millisecond
 	// minDemand is the demand, in requests per second, below which a lease is
 	// given back.
 	minDemand = 0.05
@@ -39,5 +40,9 @@
 
 // rate is the estimate in requests per second.
 func (d *demand) rate(now time.Time) float64 {
-	return d.decayed(now) / demandWindow.Seconds()
+	rate := d.decayed(now) / demandWindow.Seconds()
+	if idle := now.Sub(d.at).Seconds(); idle > 0 {
+		rate = min(rate, idleArrivals/idle)
+	}
+	return rate
 }
--- a/ratelimit/entry.go
+++ b/ratelimit/entry.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,8 +59,11 @@
 	pending uint64
 	sent    time.Time
 	owner   state.MemberID
-	// blocked is the time before which no ask is sent.
-	blocked time.Time
+	// waited is set when requests waited for the pending ask.
+	waited bool
+	// blocked is the time before which no ask is sent, full that before which
+	// none is sent to fill up a lease.
+	blocked, full time.Time
 }
 
 // Stands reports whether an admission decided at one time still stands at the
@@ -80,11 +84,11 @@
 	defer c.mu.Unlock()
 	c.demand.add(now)
 	if d, ok := c.take(now); ok {
-		return d, nil
+		return d, e.prefetch(c, snap, customer, now)
 	}
 	c.follow(snap, e.self.Domain)
 	c.waiting++
-	asks := e.asks(c, snap, customer, now)
+	asks := e.asks(c, snap, customer, now, false)
 	if !c.expects(now, e.timing) {
 		c.waiting--
 		return c.refusal(now, e.timing), asks
@@ -101,7 +105,7 @@
 		c.waiting--
 		return d, nil
 	}
-	asks := e.asks(c, snap, customer, now)
+	asks := e.asks(c, snap, customer, now, false)
 	if last || !c.expects(now, e.timing) {
 		c.waiting--
 		return c.refusal(now, e.timing), asks
@@ -109,6 +113,18 @@
 	return Decision{Verdict: Wait}, asks
 }
 
+// prefetch asks for tokens before the leases are empty.
+func (e *Entry) prefetch(c *entryCustomer, snap *state.Snapshot, customer string, now time.Time) []OutgoingAsk {
+	level := 0.0
+	for _, s := range c.sources {
+		level += s.lease.level
+	}
+	if level >= 1+c.demand.rate(now)*burstWindow.Seconds()/2 {
+		return nil
+	}
+	return e.asks(c, snap, customer, now, true)
+}
+
 func (e *Entry) customer(name string) *entryCustomer {
 	if c, ok := e.customers.Load(name); ok {
 		return c.(*entryCustomer)
@@ -151,16 +167,20 @@
 }
 
 // asks asks the home pool, or the others when the home pool has nothing or
-// does not answer. The others are asked one at a time.
-func (e *Entry) asks(c *entryCustomer, snap *state.Snapshot, customer string, now time.Time) []OutgoingAsk {
+// does not answer. The others are asked one at a time; to fill up leases only
+// if they have leased a rate.
+func (e *Entry) asks(c *entryCustomer, snap *state.Snapshot, customer string, now time.Time, fillUp bool) []OutgoingAsk {
 	for i, s := range c.sources {
+		if fillUp && i > 0 && s.lease.rate == 0 {
+			continue
+		}
 		if s.pending != 0 && now.Sub(s.sent) < e.timing.AskTimeout {
 			if now.Sub(s.sent) < e.timing.Wait {
 				return nil
 			}
 			continue
 		}
-		if now.Before(s.blocked) {
+		if now.Before(s.blocked) || fillUp && now.Before(s.full) {
 			continue
 		}
 		if ask, ok := e.ask(c, i, snap, customer, now); ok {
@@ -184,6 +204,7 @@
 	s.pending = e.seq.Add(1)
 	s.sent = now
 	s.owner = owner.ID
+	s.waited = c.waiting > 0
 	return OutgoingAsk{To: owner, Domain: s.domain, Ask: Ask{
 		Customer:  customer,
 		Seq:       s.pending,
@@ -194,6 +215,7 @@
 		Returned:  returned,
 		WantRate:  float32(wantRate),
 		WantBurst: float32(wantBurst),
+		Waiting:   uint16(min(c.waiting, math.MaxUint16)),
 	}}, true
 }
 
@@ -203,7 +225,6 @@
 	if rate < minDemand && c.waiting == 0 {
 		return 0, 0
 	}
-	rate *= demandHeadroom
 	for _, o := range c.sources {
 		if o != s {
 			o.lease.fill(now)
@@ -214,7 +235,11 @@
 	if rate == 0 && c.waiting == 0 {
 		return 0, 0
 	}
-	return rate, 1 + rate*burstWindow.Seconds() + float64(c.waiting)
+	burst = rate*burstWindow.Seconds() + float64(c.waiting)
+	if s == c.sources[0] || rate >= minLeasedRate {
+		burst++
+	}
+	return rate, burst
 }
 
 // expects reports whether an answer may arrive within the wait of a request.
@@ -257,13 +282,22 @@
 		return
 	}
 	if g.RetryMS > 0 {
-		s.blocked = now.Add(time.Duration(g.RetryMS) * time.Millisecond)
+		s.pause(now.Add(time.Duration(g.RetryMS) * time.Millisecond))
 	}
 	if g.DurationMS > 0 {
 		s.lease.replace(g, from, e.timing, s.sent, now)
 	}
 }
 
+// pause blocks further asks. An ask for which no request waited tells nothing
+// about one for which requests do.
+func (s *source) pause(until time.Time) {
+	s.full = until
+	if s.waited {
+		s.blocked = until
+	}
+}
+
 // Failed takes in that an ask got no answer.
 func (e *Entry) Failed(domain, customer string, seq uint64, now time.Time) {
 	c := e.customer(customer)
@@ -295,7 +329,7 @@
 		defer c.mu.Unlock()
 		c.follow(snap, e.self.Domain)
 		for i, s := range c.sources {
-			if !s.renewalDue(now, e.timing) {
+			if !e.renewalDue(c, s, now) {
 				continue
 			}
 			if ask, ok := e.ask(c, i, snap, key.(string), now); ok {
@@ -307,12 +341,23 @@
 	return out
 }
 
-// renewalDue is true for a rate lease of the age of renewal. A lease without a
-// rate is left to lapse.
-func (s *source) renewalDue(now time.Time, t Timing) bool {
-	s.lease.fill(now)
-	if s.lease.rate == 0 || now.Before(s.lease.renewAt) {
+// renewalDue is true for a lease of the age of renewal and for one that holds
+// far more than the demand. Single tokens are left to lapse.
+func (e *Entry) renewalDue(c *entryCustomer, s *source, now time.Time) bool {
+	l := &s.lease
+	l.fill(now)
+	if l.burst == 0 || l.length <= e.timing.Take {
+		return false
+	}
+	if s.pending != 0 && now.Sub(s.sent) < e.timing.AskTimeout {
 		return false
 	}
-	return s.pending == 0 || now.Sub(s.sent) >= t.AskTimeout
+	if !now.Before(l.renewAt) {
+		return true
+	}
+	if now.Sub(s.sent) < e.timing.Release {
+		return false
+	}
+	wantRate, wantBurst := c.want(s, now)
+	return l.rate > 2*wantRate+minLeasedRate || l.level > 2*wantBurst+1
 }
--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -12,21 +12,23 @@
 
 // fleet runs pure cores on a virtual clock with messages between them.
 type fleet struct {
-	rnd     *rand.Rand
-	now     time.Duration
-	queue   events
-	order   int
-	timing  Timing
-	nodes   []*simNode
-	roster  map[state.MemberID]state.Member
-	ended   map[state.MemberID]bool
-	events  []state.RosterEvent
-	config  *config.Config
-	head    *state.Snapshot
-	cut     map[[2]string]bool
-	noLog   map[string]bool
-	faults  messageFaults
-	decided func(customer string, admitted bool)
+	rnd    *rand.Rand
+	now    time.Duration
+	queue  events
+	order  int
+	timing Timing
+	nodes  []*simNode
+	roster map[state.MemberID]state.Member
+	ended  map[state.MemberID]bool
+	events []state.RosterEvent
+	config *config.Config
+	head   *state.Snapshot
+	cut    map[[2]string]bool
+	noLog  map[string]bool
+	faults messageFaults
+	// arrived is called for every request and returns what to call with its
+	// verdict.
+	arrived func(customer string) func(admitted bool)
 	// admitted holds the times of all admissions of a customer.
 	admitted map[string][]time.Duration
 	messages int
@@ -82,7 +84,7 @@
 		ended:    map[state.MemberID]bool{},
 		cut:      map[[2]string]bool{},
 		noLog:    map[string]bool{},
-		decided:  func(string, bool) {},
+		arrived:  func(string) func(bool) { return func(bool) {} },
 		admitted: map[string][]time.Duration{},
 		config:   &config.Config{Customers: customers, FailureDomains: domains},
 	}
@@ -256,49 +258,55 @@
 	})
 }
 
-// request is one root request at a node, from arrival to its decision.
+// simRequest is one root request at a node.
+type simRequest struct {
+	node     *simNode
+	customer string
+	deadline time.Duration
+	decided  func(admitted bool)
+}
+
 func (f *fleet) request(n *simNode, customer string) {
-	now := f.clock(n)
-	d, asks := n.entry.Arrive(n.snap, customer, now)
-	f.follow(n, customer, f.now+f.timing.Wait, d, asks)
+	r := &simRequest{n, customer, f.now + f.timing.Wait, f.arrived(customer)}
+	d, asks := n.entry.Arrive(n.snap, customer, f.clock(n))
+	f.follow(r, d, asks)
 }
 
-func (f *fleet) follow(n *simNode, customer string, deadline time.Duration, d Decision, asks []OutgoingAsk) {
+func (f *fleet) follow(r *simRequest, d Decision, asks []OutgoingAsk) {
 	for _, a := range asks {
-		f.ask(n, a)
+		f.ask(r.node, a)
 	}
 	switch d.Verdict {
 	case Refuse:
-		f.decided(customer, false)
+		r.decided(false)
 	case Admit:
-		f.admit(n, customer, d)
+		f.admit(r, d)
 	case Wait:
-		f.at(min(f.now+time.Millisecond, deadline), n, func() {
-			last := f.now >= deadline
-			d, asks := n.entry.Retry(n.snap, customer, last, f.clock(n))
-			f.follow(n, customer, deadline, d, asks)
+		f.at(min(f.now+500*time.Microsecond, r.deadline), r.node, func() {
+			last := f.now >= r.deadline
+			d, asks := r.node.entry.Retry(r.node.snap, r.customer, last, f.clock(r.node))
+			f.follow(r, d, asks)
 		})
 	}
 }
 
-// admit lets a request go on, after a pause between decision and use if the
-// node is paused at this moment.
-func (f *fleet) admit(n *simNode, customer string, d Decision) {
-	decided := f.clock(n)
-	go1 := func() {
-		if !d.Stands(decided, f.clock(n), f.timing) {
-			f.decided(customer, false)
-			return
+// admit lets a request go on, now and then after a pause of its node between
+// decision and use.
+func (f *fleet) admit(r *simRequest, d Decision) {
+	decided := f.clock(r.node)
+	proceed := func() {
+		admitted := d.Stands(decided, f.clock(r.node), f.timing)
+		if admitted {
+			f.admitted[r.customer] = append(f.admitted[r.customer], f.now)
 		}
-		f.admitted[customer] = append(f.admitted[customer], f.now)
-		f.decided(customer, true)
+		r.decided(admitted)
 	}
 	if f.faults.late > 0 && f.rnd.Float64() < 0.001 {
-		n.paused = f.now + f.between(0, 4*time.Second)
-		f.at(n.paused, n, go1)
+		r.node.paused = f.now + f.between(0, 4*time.Second)
+		f.at(r.node.paused, r.node, proceed)
 		return
 	}
-	go1()
+	proceed()
 }
 
 // arrivals offers requests at a mean rate, placed by where, until a time.
--- a/ratelimit/lease.go
+++ b/ratelimit/lease.go
@@ -16,6 +16,8 @@
 	at          time.Time
 	expires     time.Time
 	renewAt     time.Time
+	// length is the time from the ask to the end.
+	length time.Duration
 }
 
 // fill adds the tokens that the lease has brought up to now.
@@ -50,6 +52,9 @@
 func (l *lease) lower(wantRate, wantBurst float64) float32 {
 	l.rate = min(l.rate, float64(float32down(wantRate)))
 	l.burst = min(l.burst, float64(float32down(wantBurst)))
+	if l.rate == 0 {
+		l.burst = min(l.burst, float64(float32down(l.level)))
+	}
 	surplus := max(0, l.level-l.burst)
 	l.level -= surplus
 	return float32down(surplus)
@@ -76,7 +81,8 @@
 	l.level = min(l.burst, kept+float64(g.Tokens))
 	l.at = now
 	l.expires = expires
-	l.renewAt = sent.Add(min(t.Renew, expires.Sub(sent)/2))
+	l.length = expires.Sub(sent)
+	l.renewAt = sent.Add(min(t.Renew, l.length/2))
 	if shrunk {
 		l.renewAt = now.Add(t.MinRetry)
 	}
--- a/ratelimit/ledger.go
+++ b/ratelimit/ledger.go
@@ -7,15 +7,19 @@
 )
 
 const (
+	// leasedDemand is the fraction of a borrower's demand that it gets as a
+	// leased rate. The rest is asked for in tokens, so that most of the burst
+	// stays in the pool, for any borrower to take.
+	leasedDemand = 0.7
 	// pooledRate and pooledBurst are the fractions of a share that are never
-	// leased for long, so that entry nodes without a lease find tokens.
+	// leased for long.
 	pooledRate  = 0.1
 	pooledBurst = 0.25
-	// leaseRetryPart divides MaxRetry for a borrower that has a lease but found
-	// the pool empty.
+	// minLeasedRate is the smallest rate worth a lease, in tokens per second.
+	minLeasedRate = 2
+	// leaseRetryPart divides MaxRetry for a borrower that holds a rate lease
+	// but found the pool empty.
 	leaseRetryPart = 4
-	// minLeasedBurst is the smallest bucket worth a lease, in tokens.
-	minLeasedBurst = 1
 )
 
 // Ledger is the pool of one customer in one failure domain, as kept by its
@@ -40,6 +44,8 @@
 	wantRate  float64
 	wantBurst float64
 	asked     time.Time
+	// denied is the latest time at which a waiting request got nothing.
+	denied time.Time
 }
 
 // grant is a lease that its borrower may be using.
@@ -113,56 +119,98 @@
 	l.clamp()
 }
 
-// allot chooses a grant: a rate lease if the fair part of the burst is of use,
-// else a single token for a short time.
+// offer is what a borrower may get.
+type offer struct {
+	rate, burst float64
+	length      time.Duration
+	// contended is set when others still hold what is due to the borrower.
+	contended bool
+}
+
+// allot makes a grant of what is due to the borrower, as far as the others
+// leave it free now.
 func (l *Ledger) allot(acct *account, a Ask, now time.Time) Grant {
 	g := Grant{Seq: a.Seq}
-	if acct.wantBurst < 1 {
-		return g
+	o := l.offer(acct, a)
+	if o.burst < 1 {
+		return l.deny(acct, a, o, now)
 	}
-	rate, burst := l.fair(acct)
-	d := l.timing.Lease
-	if burst < minLeasedBurst {
-		rate, burst, d = 0, 1, l.timing.Take
+	level := float64(a.Level)
+	tokens := max(0, min(l.level, o.burst-level))
+	o.burst = max(o.burst, min(level, float64(a.Burst)))
+	if o.rate == 0 {
+		o.burst = min(o.burst, tokens+level)
 	}
-	freeRate, freeBurst := l.freeFor(acct)
-	rate = min(rate, freeRate)
-	burst = min(burst, freeBurst)
-	tokens := min(l.level, max(0, burst-float64(a.Level)))
-	if burst < 1 || (rate == 0 && tokens+float64(a.Level) < 1) {
-		g.RetryMS = l.retryMS(acct)
-		return g
+	if o.rate == 0 && tokens < 1 {
+		return l.deny(acct, a, o, now)
 	}
-	g.Rate, g.Burst, g.Tokens = float32down(rate), float32down(burst), float32down(tokens)
-	g.DurationMS = uint32(d / time.Millisecond)
-	if tokens+float64(a.Level) < 1 {
-		g.RetryMS = uint32(l.timing.MaxRetry / leaseRetryPart / time.Millisecond)
+	if level+tokens < 1 {
+		g.RetryMS = l.retryMS(o, now)
 	}
+	g.Rate, g.Burst, g.Tokens = float32down(o.rate), float32down(o.burst), float32down(tokens)
+	g.DurationMS = uint32(o.length / time.Millisecond)
 	l.level -= tokens
 	acct.grants = append(acct.grants, grant{
-		seq: a.Seq, rate: rate, burst: burst, tokens: float64(g.Tokens),
-		expires: now.Add(d + driftAllowance(d)),
+		seq: a.Seq, rate: o.rate, burst: o.burst, tokens: float64(g.Tokens),
+		expires: now.Add(o.length + driftAllowance(o.length)),
 	})
 	l.clamp()
 	return g
 }
 
-// fair returns the borrower's part of the share by demand.
-func (l *Ledger) fair(acct *account) (rate, burst float64) {
+// deny answers an ask that gets nothing.
+func (l *Ledger) deny(acct *account, a Ask, o offer, now time.Time) Grant {
+	if acct.wantBurst < 1 {
+		return Grant{Seq: a.Seq}
+	}
+	if a.Waiting > 0 {
+		acct.denied = now
+	}
+	return Grant{Seq: a.Seq, RetryMS: l.retryMS(o, now)}
+}
+
+// offer limits what is due to what the other borrowers leave. A borrower to
+// which no lease is due gets tokens for the requests that wait, for a short
+// time, or added to the lease that it has.
+func (l *Ledger) offer(acct *account, a Ask) offer {
+	rate, burst := l.due(acct)
+	length := l.timing.Lease
+	if burst < 1 || rate == 0 && !acct.home {
+		rate = 0
+		burst = max(float64(a.Level)+float64(a.Waiting), 0)
+		if len(acct.grants) == 0 {
+			length = l.timing.Take
+		}
+	}
+	freeRate, freeBurst := l.freeFor(acct)
+	return offer{
+		rate:      min(rate, freeRate),
+		burst:     min(burst, freeBurst),
+		length:    length,
+		contended: freeRate < rate || freeBurst < burst,
+	}
+}
+
+// due returns the borrower's part of the share by demand.
+func (l *Ledger) due(acct *account) (rate, burst float64) {
 	var wantRate, wantBurst [2]float64
 	for _, o := range l.accounts {
 		i := class(o)
 		wantRate[i] += o.wantRate
 		wantBurst[i] += o.wantBurst
 	}
-	leasableRate := l.share.Rate * (1 - pooledRate)
-	leasableBurst := l.share.Burst - max(1, l.share.Burst*pooledBurst)
+	rate = l.share.Rate * (1 - pooledRate)
+	burst = l.share.Burst * (1 - pooledBurst)
 	i := class(acct)
 	if i == 1 {
-		leasableRate = max(0, leasableRate-wantRate[0])
-		leasableBurst = max(0, leasableBurst-wantBurst[0])
+		rate = max(0, rate-wantRate[0])
+		burst = max(0, burst-wantBurst[0])
 	}
-	return portion(leasableRate, acct.wantRate, wantRate[i]), portion(leasableBurst, acct.wantBurst, wantBurst[i])
+	rate = min(portion(rate, acct.wantRate, wantRate[i]), acct.wantRate*leasedDemand)
+	if rate < minLeasedRate {
+		rate = 0
+	}
+	return rate, portion(burst, acct.wantBurst, wantBurst[i])
 }
 
 // class is 0 for home borrowers and 1 for others.
@@ -256,20 +304,29 @@
 }
 
 // retryMS is when the asker can expect a token, given the others that want one.
-func (l *Ledger) retryMS(acct *account) uint32 {
-	d := l.timing.MaxRetry
-	if acct.home && l.share.Rate > 0 {
-		s := max(1-l.level, float64(l.waiting())) / l.share.Rate
-		d = min(d, time.Duration(s*float64(time.Second)))
+func (l *Ledger) retryMS(o offer, now time.Time) uint32 {
+	limit := l.timing.MaxRetry
+	if o.rate > 0 {
+		limit /= leaseRetryPart
+	}
+	leased, _ := l.leased()
+	fill := l.share.Rate - leased
+	d := limit
+	switch {
+	case o.contended:
+		d = l.timing.Contended
+	case fill > 0:
+		tokens := max(1-l.level, float64(l.contenders(now)))
+		d = min(d, time.Duration(tokens/fill*float64(time.Second)))
 	}
 	return uint32(max(d, l.timing.MinRetry) / time.Millisecond)
 }
 
-// waiting counts the borrowers that want tokens and have no grant.
-func (l *Ledger) waiting() int {
+// contenders counts the borrowers that were denied a token lately.
+func (l *Ledger) contenders(now time.Time) int {
 	n := 0
 	for _, o := range l.accounts {
-		if o.wantBurst >= 1 && len(o.grants) == 0 {
+		if !o.denied.IsZero() && now.Sub(o.denied) < l.timing.MaxRetry/leaseRetryPart {
 			n++
 		}
 	}
--- a/ratelimit/message.go
+++ b/ratelimit/message.go
@@ -22,9 +22,11 @@
 	Burst    float32 `cbor:"5,keyasint,omitempty"`
 	Level    float32 `cbor:"6,keyasint,omitempty"`
 	Returned float32 `cbor:"7,keyasint,omitempty"`
-	// WantRate and WantBurst are the demand of the entry node.
+	// WantRate and WantBurst are the demand of the entry node. Waiting is the
+	// number of requests that wait for the answer.
 	WantRate  float32 `cbor:"8,keyasint,omitempty"`
 	WantBurst float32 `cbor:"9,keyasint,omitempty"`
+	Waiting   uint16  `cbor:"10,keyasint,omitempty"`
 }
 
 // Grant answers an Ask. It replaces the lease held before. A grant with a zero
--- a/ratelimit/timing.go
+++ b/ratelimit/timing.go
@@ -15,6 +15,10 @@
 	AskTimeout time.Duration
 	// MinRetry and MaxRetry bound the pause between asks that got nothing.
 	MinRetry, MaxRetry time.Duration
+	// Contended is the pause while others hold what is due to the asker.
+	Contended time.Duration
+	// Release is the least time between an ask and an early release.
+	Release time.Duration
 	// Wait bounds the time for which a request waits for an answer.
 	Wait time.Duration
 	// Stall is the longest time between reading the clock and admitting.
@@ -24,12 +28,14 @@
 // DefaultTiming is used by the plug-in.
 var DefaultTiming = Timing{
 	Lease:      2 * time.Second,
-	Take:       100 * time.Millisecond,
+	Take:       50 * time.Millisecond,
 	Renew:      time.Second,
 	Contact:    3 * time.Second,
 	AskTimeout: 100 * time.Millisecond,
 	MinRetry:   20 * time.Millisecond,
 	MaxRetry:   time.Second,
+	Contended:  50 * time.Millisecond,
+	Release:    100 * time.Millisecond,
 	Wait:       5 * time.Millisecond,
 	Stall:      10 * time.Millisecond,
 }
