Rate limit: single tokens for small demand; comparison with a central bucket

Ruled out: a reserve in the pool for waiting requests (no gain at 0.25 and 0.5 of the burst).

Change: no rate lease below 10/s, whole tokens instead; the fullest lease is spent first; other domains are asked strictly one at a time; a lease that holds tokens is prolonged also when the pool is empty; deterministic order of asks. Tests hold the fleet to targets against a central bucket, through a log outage, the death of an owner and a cut.

--- a/ratelimit/demand.go
+++ b/ratelimit/demand.go
@@ -12,7 +12,7 @@
 	// since the last one, so that it drops soon when the arrivals stop.
 	idleArrivals = 3
 	// burstWindow is the time for which a lease should buffer the demand.
-	burstWindow = 100 * time.Millisecond
+	burstWindow = 200 * time.Millisecond
 	// minDemand is the demand, in requests per second, below which a lease is
 	// given back.
 	minDemand = 0.05
--- a/ratelimit/entry.go
+++ b/ratelimit/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -105,8 +106,12 @@
 		c.waiting--
 		return d, nil
 	}
+	if last {
+		c.waiting--
+		return c.refusal(now, e.timing), nil
+	}
 	asks := e.asks(c, snap, customer, now, false)
-	if last || !c.expects(now, e.timing) {
+	if !c.expects(now, e.timing) {
 		c.waiting--
 		return c.refusal(now, e.timing), asks
 	}
@@ -133,14 +138,19 @@
 	return c.(*entryCustomer)
 }
 
-// take spends a token of any lease.
+// take spends a token of the fullest lease.
 func (c *entryCustomer) take(now time.Time) (Decision, bool) {
+	var fullest *lease
 	for _, s := range c.sources {
-		if s.lease.take(now) {
-			return Decision{Verdict: Admit, Until: s.lease.expires}, true
+		s.lease.fill(now)
+		if fullest == nil || s.lease.level > fullest.level {
+			fullest = &s.lease
 		}
 	}
-	return Decision{}, false
+	if fullest == nil || !fullest.take(now) {
+		return Decision{}, false
+	}
+	return Decision{Verdict: Admit, Until: fullest.expires}, true
 }
 
 // follow takes over the list of failure domains of the configuration in force.
@@ -170,14 +180,17 @@
 // does not answer. The others are asked one at a time; to fill up leases only
 // if they have leased a rate.
 func (e *Entry) asks(c *entryCustomer, snap *state.Snapshot, customer string, now time.Time, fillUp bool) []OutgoingAsk {
-	for i, s := range c.sources {
+	if c.expects(now, e.timing) {
+		return nil
+	}
+	rotation := int(e.seq.Load() % uint64(max(1, len(c.sources))))
+	for k := range c.sources {
+		i := rotated(k, rotation, len(c.sources))
+		s := c.sources[i]
 		if fillUp && i > 0 && s.lease.rate == 0 {
 			continue
 		}
 		if s.pending != 0 && now.Sub(s.sent) < e.timing.AskTimeout {
-			if now.Sub(s.sent) < e.timing.Wait {
-				return nil
-			}
 			continue
 		}
 		if now.Before(s.blocked) || fillUp && now.Before(s.full) {
@@ -190,6 +203,15 @@
 	return nil
 }
 
+// rotated keeps the home pool first and rotates the others, so that they are
+// asked equally.
+func rotated(k, rotation, n int) int {
+	if k == 0 {
+		return 0
+	}
+	return 1 + (k-1+rotation)%(n-1)
+}
+
 // ask lowers the lease to what is wanted and makes the ask that says so.
 func (e *Entry) ask(c *entryCustomer, i int, snap *state.Snapshot, customer string, now time.Time) (OutgoingAsk, bool) {
 	s := c.sources[i]
@@ -205,6 +227,7 @@
 	s.sent = now
 	s.owner = owner.ID
 	s.waited = c.waiting > 0
+	s.lease.renewAt = now.Add(e.timing.Renew / 4)
 	return OutgoingAsk{To: owner, Domain: s.domain, Ask: Ask{
 		Customer:  customer,
 		Seq:       s.pending,
@@ -320,24 +343,35 @@
 	return nil
 }
 
-// Tick returns the asks that renew or give back leases.
+// Tick returns the asks that renew or give back leases, ordered by customer.
 func (e *Entry) Tick(snap *state.Snapshot, now time.Time) []OutgoingAsk {
-	var out []OutgoingAsk
-	e.customers.Range(func(key, value any) bool {
-		c := value.(*entryCustomer)
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.follow(snap, e.self.Domain)
-		for i, s := range c.sources {
-			if !e.renewalDue(c, s, now) {
-				continue
-			}
-			if ask, ok := e.ask(c, i, snap, key.(string), now); ok {
-				out = append(out, ask)
-			}
-		}
+	var names []string
+	e.customers.Range(func(key, _ any) bool {
+		names = append(names, key.(string))
 		return true
 	})
+	sort.Strings(names)
+	var out []OutgoingAsk
+	for _, name := range names {
+		out = append(out, e.renewals(snap, name, now)...)
+	}
+	return out
+}
+
+func (e *Entry) renewals(snap *state.Snapshot, customer string, now time.Time) []OutgoingAsk {
+	c := e.customer(customer)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.follow(snap, e.self.Domain)
+	var out []OutgoingAsk
+	for i, s := range c.sources {
+		if !e.renewalDue(c, s, now) {
+			continue
+		}
+		if ask, ok := e.ask(c, i, snap, customer, now); ok {
+			out = append(out, ask)
+		}
+	}
 	return out
 }
 
--- /dev/null
+++ b/ratelimit/failure_test.go
@@ -0,0 +1,93 @@
+package ratelimit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/config"
+)
+
+var failureCustomer = config.Customer{Name: "a", Rate: 100, Burst: 60}
+
+// ownerDeath kills the owner of the customer's pool in the first domain after
+// the warm-up; its end is on the log two seconds later.
+func ownerDeath(f *fleet) {
+	f.at(warmUp, nil, func() {
+		m, _ := poolOwner(f.head.Domain(testDomains[0]), failureCustomer.Name)
+		n := f.node(m.ID)
+		n.dead = true
+		f.at(f.now+2*time.Second, nil, func() {
+			f.announce(n.member, true)
+			f.start(n.member.Domain)
+		})
+	})
+}
+
+// logOutage takes the log away from all nodes after the warm-up, to the end.
+func logOutage(f *fleet) {
+	f.at(warmUp, nil, func() {
+		for _, d := range testDomains {
+			f.noLog[d] = true
+		}
+	})
+}
+
+// BenchmarkFailures reports the share refused wrongly in the 30 s after the
+// start of a failure.
+func BenchmarkFailures(b *testing.B) {
+	failures := []struct {
+		name   string
+		faults func(*fleet)
+	}{{"none", noFaults}, {"owner-death", ownerDeath}, {"log-outage", logOutage}, {"domains-cut", cutOff}}
+	for _, f := range failures {
+		for _, load := range []string{"0.5", "0.9"} {
+			b.Run(f.name+"/load="+load, func(b *testing.B) {
+				var got comparison
+				x := map[string]float64{"0.5": 0.5, "0.9": 0.9}[load]
+				for range b.N {
+					got = scenario{failureCustomer, x, placements[0], f.faults}.run(4)
+				}
+				b.ReportMetric(100*got.wrongShare(), "%wrong")
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
+
+// TestLogOutageRefusesNothing: owners go on by confirmation of their domain.
+func TestLogOutageRefusesNothing(t *testing.T) {
+	got := scenario{failureCustomer, 0.5, placements[0], logOutage}.run(2)
+	if got.wrongShare() > 0.005 {
+		t.Errorf("seeds 0 and 1: %.2f %% refused wrongly while the log is away", 100*got.wrongShare())
+	}
+}
+
+// TestOwnerDeathIsShort: the other domains lend while the pool has no owner.
+func TestOwnerDeathIsShort(t *testing.T) {
+	got := scenario{failureCustomer, 0.5, placements[0], ownerDeath}.run(2)
+	if got.wrongShare() > 0.05 {
+		t.Errorf("seeds 0 and 1: %.2f %% refused wrongly in the 30 s after the death of an owner", 100*got.wrongShare())
+	}
+}
+
+// TestCutDomainKeepsItsShare: under a cut a domain falls to its share of the
+// rate and not below.
+func TestCutDomainKeepsItsShare(t *testing.T) {
+	for seed := range uint64(2) {
+		f := newFleet(seed, testDomains, 4, []config.Customer{failureCustomer})
+		cutOff(f)
+		f.arrivals("a", 2*failureCustomer.Rate, runLength, func() *simNode { return f.nodes[f.rnd.IntN(4)] })
+		f.run(runLength)
+		share := domainShare(failureCustomer, testDomains, testDomains[0])
+		admitted := 0
+		for _, at := range f.admitted["a"] {
+			if at > warmUp {
+				admitted++
+			}
+		}
+		// 5 % as the target for demand above the rate.
+		if want := 0.95 * share.Rate * (runLength - warmUp).Seconds(); float64(admitted) < want {
+			t.Errorf("seed %d: %d admitted, want at least %.0f", seed, admitted, want)
+		}
+	}
+}
--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -29,6 +29,8 @@
 	// arrived is called for every request and returns what to call with its
 	// verdict.
 	arrived func(customer string) func(admitted bool)
+	// decide replaces the cores' decision if set.
+	decide func(n *simNode) bool
 	// admitted holds the times of all admissions of a customer.
 	admitted map[string][]time.Duration
 	messages int
@@ -268,6 +270,10 @@
 
 func (f *fleet) request(n *simNode, customer string) {
 	r := &simRequest{n, customer, f.now + f.timing.Wait, f.arrived(customer)}
+	if f.decide != nil {
+		r.decided(f.decide(n))
+		return
+	}
 	d, asks := n.entry.Arrive(n.snap, customer, f.clock(n))
 	f.follow(r, d, asks)
 }
--- a/ratelimit/ledger.go
+++ b/ratelimit/ledger.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"math"
 	"time"
 
 	"github.com/gooseberryflow/gooseberryflow/state"
@@ -16,7 +17,7 @@
 	pooledRate  = 0.1
 	pooledBurst = 0.25
 	// minLeasedRate is the smallest rate worth a lease, in tokens per second.
-	minLeasedRate = 2
+	minLeasedRate = 10
 	// leaseRetryPart divides MaxRetry for a borrower that holds a rate lease
 	// but found the pool empty.
 	leaseRetryPart = 4
@@ -28,15 +29,18 @@
 // rate of the pool and the rates of those grants sum to at most its rate. The
 // tokens that can be spent without further fill are thereby at most the burst.
 type Ledger struct {
-	timing   Timing
-	share    Share
-	level    float64
-	at       time.Time
-	accounts map[state.MemberID]*account
+	timing Timing
+	share  Share
+	level  float64
+	at     time.Time
+	// accounts is in order of the first ask.
+	accounts []*account
+	index    map[state.MemberID]*account
 }
 
 // account is one borrower.
 type account struct {
+	borrower  state.MemberID
 	home      bool
 	lastSeq   uint64
 	answer    Grant
@@ -58,7 +62,7 @@
 
 // NewLedger returns an empty pool that fills from now on.
 func NewLedger(t Timing, s Share, now time.Time) *Ledger {
-	return &Ledger{timing: t, share: s, at: now, accounts: map[state.MemberID]*account{}}
+	return &Ledger{timing: t, share: s, at: now, index: map[state.MemberID]*account{}}
 }
 
 // SetShare changes the share. Grants made before stay valid until they lapse.
@@ -72,11 +76,7 @@
 // failure domain; the others get what home borrowers leave.
 func (l *Ledger) Ask(from state.MemberID, home bool, a Ask, now time.Time) Grant {
 	l.advance(now)
-	acct, ok := l.accounts[from]
-	if !ok {
-		acct = &account{}
-		l.accounts[from] = acct
-	}
+	acct := l.account(from)
 	if a.Seq <= acct.lastSeq {
 		return acct.repeat(a)
 	}
@@ -90,6 +90,16 @@
 	return acct.answer
 }
 
+func (l *Ledger) account(from state.MemberID) *account {
+	acct, ok := l.index[from]
+	if !ok {
+		acct = &account{borrower: from}
+		l.index[from] = acct
+		l.accounts = append(l.accounts, acct)
+	}
+	return acct
+}
+
 // repeat answers a duplicate with the same grant, and a late ask with none.
 func (acct *account) repeat(a Ask) Grant {
 	if a.Seq == acct.answer.Seq {
@@ -139,9 +149,10 @@
 	tokens := max(0, min(l.level, o.burst-level))
 	o.burst = max(o.burst, min(level, float64(a.Burst)))
 	if o.rate == 0 {
+		tokens = math.Floor(tokens)
 		o.burst = min(o.burst, tokens+level)
 	}
-	if o.rate == 0 && tokens < 1 {
+	if o.rate == 0 && level+tokens < 1 {
 		return l.deny(acct, a, o, now)
 	}
 	if level+tokens < 1 {
@@ -272,15 +283,20 @@
 		l.at = now
 		l.clamp()
 	}
-	for id, acct := range l.accounts {
+	kept := l.accounts[:0]
+	for _, acct := range l.accounts {
 		acct.expire(l.at)
-		if len(acct.grants) == 0 && l.at.Sub(acct.asked) > l.timing.Lease {
+		idle := l.at.Sub(acct.asked)
+		if len(acct.grants) == 0 && idle > l.timing.Lease {
 			acct.wantRate, acct.wantBurst = 0, 0
 		}
-		if len(acct.grants) == 0 && l.at.Sub(acct.asked) > accountRetention {
-			delete(l.accounts, id)
+		if len(acct.grants) == 0 && idle > accountRetention {
+			delete(l.index, acct.borrower)
+			continue
 		}
+		kept = append(kept, acct)
 	}
+	l.accounts = kept
 }
 
 // accountRetention is how long an idle account is kept, to recognise late
@@ -316,7 +332,7 @@
 	case o.contended:
 		d = l.timing.Contended
 	case fill > 0:
-		tokens := max(1-l.level, float64(l.contenders(now)))
+		tokens := max(1, float64(l.contenders(now))) - l.level
 		d = min(d, time.Duration(tokens/fill*float64(time.Second)))
 	}
 	return uint32(max(d, l.timing.MinRetry) / time.Millisecond)
--- a/ratelimit/timing.go
+++ b/ratelimit/timing.go
@@ -36,7 +36,7 @@
 	MaxRetry:   time.Second,
 	Contended:  50 * time.Millisecond,
 	Release:    100 * time.Millisecond,
-	Wait:       5 * time.Millisecond,
+	Wait:       8 * time.Millisecond,
 	Stall:      10 * time.Millisecond,
 }
 
