--- /dev/null
+++ b/config/parse.go
@@ -0,0 +1,163 @@
+package config
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/gooseberryflow/gooseberryflow/internal/tomlfile"
+)
+
+// Parse reads and validates an operators' file. It returns either a whole
+// configuration or an error of type Errors that lists every fault found.
+// Unknown keys are faults.
+//
+// The routes of the result are ordered by the number of wildcards in their
+// patterns, so that the first match of a request is the most specific one.
+func Parse(file []byte) (*Config, error) {
+	if len(file) > MaxFileBytes {
+		reason := fmt.Sprintf("the file has %d bytes; at most %d are allowed", len(file), MaxFileBytes)
+		return nil, Errors{{Reason: reason}}
+	}
+	doc := tomlfile.Parse(file)
+	c := &Config{}
+	if !doc.Failed() {
+		c = readConfig(doc.Root())
+	}
+	if faults := collect(doc); len(faults) > 0 {
+		return nil, faults
+	}
+	sort.SliceStable(c.Routes, func(i, j int) bool {
+		return wildcards(c.Routes[i].Pattern) < wildcards(c.Routes[j].Pattern)
+	})
+	return c, nil
+}
+
+func collect(doc *tomlfile.Document) Errors {
+	var faults Errors
+	for _, p := range doc.Problems() {
+		faults = append(faults, Error(p))
+	}
+	return faults
+}
+
+func readConfig(root *tomlfile.Table) *Config {
+	c := &Config{}
+	c.FailureDomains = readDomains(root)
+	c.Retry = readRetry(root.Table("retry"))
+	c.Customers = readCustomers(root.Tables("customers"))
+	c.Keys = readKeys(root.Tables("keys"), customerNames(c.Customers))
+	c.Routes = readRoutes(root.Tables("routes"))
+	return c
+}
+
+func readDomains(root *tomlfile.Table) []string {
+	domains := root.Strings("failure_domains")
+	if len(domains) == 0 && (root.Valid("failure_domains") || !root.Has("failure_domains")) {
+		root.Reportf("failure_domains", "must name at least one failure domain")
+	}
+	seen := map[string]bool{}
+	for i, d := range domains {
+		key := fmt.Sprintf("failure_domains[%d]", i)
+		if !ValidName(d) {
+			root.Reportf(key, nameReason, d)
+		}
+		checkUnique(root, key, d, seen)
+	}
+	return domains
+}
+
+func readRetry(t *tomlfile.Table) RetryPolicy {
+	allowance := t.Int("allowance")
+	if allowance < 0 || allowance > MaxAllowance {
+		t.Reportf("allowance", "must be from 0 to %d", MaxAllowance)
+	}
+	return RetryPolicy{Allowance: int(allowance)}
+}
+
+func readCustomers(tables []*tomlfile.Table) []Customer {
+	customers := make([]Customer, 0, len(tables))
+	seen := map[string]bool{}
+	for _, t := range tables {
+		t.Require("name", "rate", "burst")
+		c := Customer{Name: t.String("name"), Rate: t.Float("rate"), Burst: t.Float("burst")}
+		checkName(t, "name", c.Name)
+		checkUnique(t, "name", c.Name, seen)
+		checkAmount(t, "rate", c.Rate, MinRate)
+		checkAmount(t, "burst", c.Burst, MinBurst)
+		customers = append(customers, c)
+	}
+	return customers
+}
+
+func customerNames(customers []Customer) map[string]bool {
+	names := make(map[string]bool, len(customers))
+	for _, c := range customers {
+		names[c.Name] = true
+	}
+	return names
+}
+
+func readKeys(tables []*tomlfile.Table, customers map[string]bool) []Key {
+	keys := make([]Key, 0, len(tables))
+	seen := map[string]bool{}
+	for _, t := range tables {
+		t.Require("id", "customer", "salt", "hash")
+		k := Key{ID: t.String("id"), Customer: t.String("customer"), Salt: t.String("salt"), Hash: t.String("hash")}
+		checkKeyID(t, k.ID)
+		checkUnique(t, "id", k.ID, seen)
+		checkHex(t, "salt", k.Salt, saltBytes)
+		checkHex(t, "hash", k.Hash, hashBytes)
+		if t.Valid("customer") && !customers[k.Customer] {
+			t.Reportf("customer", "no customer is named %q", k.Customer)
+		}
+		keys = append(keys, k)
+	}
+	return keys
+}
+
+func readRoutes(tables []*tomlfile.Table) []Route {
+	routes := make([]Route, 0, len(tables))
+	seen := map[string]bool{}
+	for _, t := range tables {
+		r := readRoute(t)
+		checkUnique(t, "name", r.Name, seen)
+		checkAmbiguous(t, r, routes)
+		routes = append(routes, r)
+	}
+	return routes
+}
+
+func readRoute(t *tomlfile.Table) Route {
+	t.Require("name", "service", "method", "path", "deadline")
+	r := Route{
+		Name:       t.String("name"),
+		Service:    t.String("service"),
+		Method:     t.String("method"),
+		Pattern:    t.String("path"),
+		Open:       t.Bool("open"),
+		Idempotent: t.Bool("idempotent"),
+		Priority:   readPriority(t),
+		Deadline:   t.Duration("deadline"),
+		Objective:  t.Float("objective"),
+	}
+	checkName(t, "name", r.Name)
+	checkName(t, "service", r.Service)
+	checkMethod(t, r.Method)
+	checkPattern(t, r.Pattern)
+	checkDeadline(t, r.Deadline)
+	checkObjective(t, r.Objective)
+	return r
+}
+
+// readPriority returns the named priority; normal when none is named.
+func readPriority(t *tomlfile.Table) Priority {
+	name := t.String("priority")
+	if !t.Valid("priority") {
+		return PriorityNormal
+	}
+	p, ok := ParsePriority(name)
+	if !ok {
+		t.Reportf("priority", "must be critical, high, normal or low")
+	}
+	return p
+}
--- /dev/null
+++ b/config/parse_test.go
@@ -0,0 +1,154 @@
+package config
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+)
+
+func TestExampleFileParses(t *testing.T) {
+	file, err := os.ReadFile("../docs/example.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := Parse(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(c.Customers) != 2 || len(c.Keys) != 1 || len(c.Routes) != 3 || c.Retry.Allowance != 3 {
+		t.Fatalf("example parsed as %+v", c)
+	}
+}
+
+// faultyFile holds one fault on each line marked with its reason.
+const faultyFile = `failure_domains = ["a", "B!", "a"] # "B!" is not a name; "a" is used twice
+speed = 3 # unknown key
+[retry]
+allowance = -1 # must be from 0 to 100
+[[customers]]
+name = "golf"
+rate = "fast" # must be a number
+burst = 0.5 # must be from 1
+[[customers]] # burst: is required
+name = "golf" # is used twice
+rate = nan # must be from
+[[keys]]
+id = "short" # is not a key ID
+customer = "tennis" # no customer is named "tennis"
+salt = "zz" # must be 32 hexadecimal digits
+hash = "00" # must be 64 hexadecimal digits
+[[routes]]
+name = "one"
+service = "Maps" # is not a name
+method = "FETCH" # must be GET
+path = "maps" # must start with /
+deadline = "soon" # is not a duration
+priority = "urgent" # must be critical
+[[routes]]
+name = "two"
+service = "maps"
+method = "GET"
+path = "/maps/{id}/now"
+deadline = "11m" # must be from 1ms to 10m0s
+objective = 1.0 # must be above 0
+[[routes]]
+name = "three"
+service = "maps"
+method = "GET"
+path = "/maps/new/{when}" # is ambiguous with route "two"
+deadline = "1s"
+colour = "red" # unknown key
+`
+
+func TestParseReportsEveryFaultWithItsLine(t *testing.T) {
+	_, err := Parse([]byte(faultyFile))
+	var faults Errors
+	if !errors.As(err, &faults) {
+		t.Fatalf("Parse returned %v, want Errors", err)
+	}
+	wanted := 0
+	for i, line := range strings.Split(faultyFile, "\n") {
+		_, comment, marked := strings.Cut(line, " # ")
+		if !marked {
+			continue
+		}
+		for _, reason := range strings.Split(comment, "; ") {
+			wanted++
+			if !reports(faults, i+1, reason) {
+				t.Errorf("line %d: no report of %q", i+1, reason)
+			}
+		}
+	}
+	if len(faults) != wanted {
+		t.Errorf("%d faults reported, want %d:\n%v", len(faults), wanted, err)
+	}
+}
+
+func reports(faults Errors, line int, reason string) bool {
+	for _, f := range faults {
+		if f.Line == line && strings.Contains(f.Key+": "+f.Reason, reason) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestSyntaxErrorHasItsLine(t *testing.T) {
+	_, err := Parse([]byte("failure_domains = [\"a\"]\n[retry\n"))
+	var faults Errors
+	if !errors.As(err, &faults) || len(faults) != 1 || faults[0].Line != 2 {
+		t.Fatalf("Parse returned %v, want one fault at line 2", err)
+	}
+}
+
+func TestMostSpecificRouteComesFirst(t *testing.T) {
+	c, err := Parse([]byte(`failure_domains = ["a"]
+[[routes]]
+name = "one"
+service = "s"
+method = "GET"
+path = "/maps/{id}"
+deadline = "1s"
+[[routes]]
+name = "new"
+service = "s"
+method = "GET"
+path = "/maps/new"
+deadline = "1s"
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Routes[0].Name != "new" || !c.Routes[0].Matches("GET", "/maps/new") {
+		t.Fatalf("routes %+v, want the literal path first", c.Routes)
+	}
+	one := c.Routes[1]
+	for path, want := range map[string]bool{"/maps/7": true, "/maps/": false, "/maps": false, "/maps/7/x": false, "/plans/7": false} {
+		if one.Matches("GET", path) != want {
+			t.Errorf("%s matches %s: %v, want %v", one.Pattern, path, !want, want)
+		}
+	}
+}
+
+func TestKeyVerifiesOnlyItsSecret(t *testing.T) {
+	k, secret, err := NewKey("golf")
+	if err != nil {
+		t.Fatal(err)
+	}
+	id, got, ok := SplitKey(KeyText(k.ID, secret))
+	if !ok || id != k.ID || got != secret {
+		t.Fatalf("SplitKey gave %q %v", id, ok)
+	}
+	if !k.Verify(secret) || k.Verify(secret+"0") || k.Verify("") || (Key{}).Verify(secret) {
+		t.Fatal("Verify accepted a wrong secret or refused the right one")
+	}
+	if strings.Contains(k.Salt+k.Hash, secret) {
+		t.Fatal("the key holds its secret")
+	}
+	for _, text := range []string{"", "gbf_", "gbf_12345678", "gbf_12345678_", "gbf__x", "abc_12345678_x"} {
+		if _, _, ok := SplitKey(text); ok {
+			t.Errorf("SplitKey accepted %q", text)
+		}
+	}
+}
