--- a/config/parse.go
+++ b/config/parse.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sort"
 
 	"github.com/gooseberryflow/gooseberryflow/internal/tomlfile"
 )
@@ -10,9 +9,6 @@
 // Parse reads and validates an operators' file. It returns either a whole
 // configuration or an error of type Errors that lists every fault found.
 // Unknown keys are faults.
-//
-// The routes of the result are ordered by the number of wildcards in their
-// patterns, so that the first match of a request is the most specific one.
 func Parse(file []byte) (*Config, error) {
 	if len(file) > MaxFileBytes {
 		reason := fmt.Sprintf("the file has %d bytes; at most %d are allowed", len(file), MaxFileBytes)
@@ -26,9 +22,6 @@
 	if faults := collect(doc); len(faults) > 0 {
 		return nil, faults
 	}
-	sort.SliceStable(c.Routes, func(i, j int) bool {
-		return wildcards(c.Routes[i].Pattern) < wildcards(c.Routes[j].Pattern)
-	})
 	return c, nil
 }
 
--- a/config/pattern.go
+++ b/config/pattern.go
@@ -14,38 +14,8 @@
 	literalPattern  = regexp.MustCompile(`^[A-Za-z0-9._~-]+$`)
 )
 
-// Matches reports whether the route takes a request. The path is without
-// query and percent-encoding.
-func (r *Route) Matches(method, path string) bool {
-	return r.Method == method && matchPattern(r.Pattern, path)
-}
-
-func matchPattern(pattern, path string) bool {
-	for {
-		var want, have string
-		var moreWanted, moreHeld bool
-		want, pattern, moreWanted = strings.Cut(pattern, "/")
-		have, path, moreHeld = strings.Cut(path, "/")
-		if moreWanted != moreHeld || !matchSegment(want, have) {
-			return false
-		}
-		if !moreWanted {
-			return true
-		}
-	}
-}
-
-func matchSegment(want, have string) bool {
-	if isWildcard(want) {
-		return have != ""
-	}
-	return want == have
-}
-
 func isWildcard(segment string) bool { return strings.HasPrefix(segment, "{") }
 
-func wildcards(pattern string) int { return strings.Count(pattern, "{") }
-
 // patternFault returns why a pattern is invalid; empty when it is valid.
 func patternFault(pattern string) string {
 	if pattern == "/" {
