Admin API and gooseberryctl

Choices: - A change carries its base version and a change ID of the client. The tool settles an uncertain outcome by reading it back and else sending the change again; both are idempotent. Reading back alone was ruled out: a change that was lost on its way would stay unknown until the timeout. - get puts the version on the file's first line and apply takes the base from it. Taking the version in force at the time of apply was ruled out as the only way: it overwrites changes made while the file was being edited. - The tool makes a key's secret and sends the salted hash. A secret made by the node was ruled out: it would cross the wire, and a lost answer would leave a key that nobody holds with no idempotent way to ask again.

--- /dev/null
+++ b/admin/service.go
@@ -0,0 +1,177 @@
+package admin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	api "github.com/gooseberryflow/gooseberryflow/admin/gen/admin"
+	"github.com/gooseberryflow/gooseberryflow/config"
+	"github.com/gooseberryflow/gooseberryflow/platform"
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+// service implements the generated interfaces api.Service and api.Auther.
+type service struct {
+	backend Backend
+	tokens  tokenSet
+	log     *slog.Logger
+	now     func() time.Time
+}
+
+// GetConfig returns the file in force.
+func (s *service) GetConfig(context.Context, *api.Credential) (*api.ConfigFile, error) {
+	snap := s.backend.Snapshot()
+	return &api.ConfigFile{File: string(snap.File), Version: snap.Version, ChangeID: snap.ChangeID}, nil
+}
+
+// Apply validates a file and submits it, or compares it in a dry run.
+func (s *service) Apply(ctx context.Context, p *api.ApplyPayload) (*api.ChangeResult, error) {
+	parsed, err := config.Parse([]byte(p.File))
+	if err != nil {
+		return s.invalidFile(p.ChangeID, err), nil
+	}
+	if p.DryRun {
+		return s.compare(p.ChangeID, p.BaseVersion, parsed), nil
+	}
+	r := s.backend.Submit(ctx, []byte(p.File), p.BaseVersion, p.ChangeID)
+	s.log.Info("configuration submitted", "change_id", p.ChangeID, "base", p.BaseVersion,
+		"status", string(r.Status), "version", r.Version, "reason", r.Reason)
+	return changeResult(p.ChangeID, r), nil
+}
+
+func (s *service) invalidFile(changeID string, err error) *api.ChangeResult {
+	reason := "the file is invalid"
+	var faults config.Errors
+	if !errors.As(err, &faults) {
+		reason = err.Error()
+	}
+	return &api.ChangeResult{
+		Status:   string(SubmitRejected),
+		Version:  s.backend.Snapshot().Version,
+		ChangeID: changeID,
+		Reason:   &reason,
+		Faults:   fileFaults(faults),
+	}
+}
+
+// compare answers a dry run against the configuration in force here.
+func (s *service) compare(changeID string, base uint64, next *config.Config) *api.ChangeResult {
+	snap := s.backend.Snapshot()
+	if base != snap.Version {
+		reason := fmt.Sprintf("it is based on version %d, but version %d is in force", base, snap.Version)
+		return changeResult(changeID, SubmitResult{Status: SubmitRejected, Version: snap.Version, Reason: reason})
+	}
+	return &api.ChangeResult{
+		Status:   "valid",
+		Version:  snap.Version,
+		ChangeID: changeID,
+		Changes:  configChanges(config.Diff(snap.Config, next)),
+	}
+}
+
+// GetChange reads the outcome of a change back.
+func (s *service) GetChange(ctx context.Context, p *api.GetChangePayload) (*api.ChangeResult, error) {
+	return changeResult(p.ChangeID, s.backend.Outcome(ctx, p.ChangeID)), nil
+}
+
+// IssueKey adds a key for a customer of the configuration in force.
+func (s *service) IssueKey(ctx context.Context, p *api.KeyPayload) error {
+	if _, ok := s.backend.Snapshot().Customer(p.Customer); !ok {
+		return api.MakeInvalid(fmt.Errorf("no customer is named %q", p.Customer))
+	}
+	key := config.Key{ID: p.ID, Customer: p.Customer, Salt: p.Salt, Hash: p.Hash}
+	err := s.backend.IssueKey(ctx, key)
+	s.log.Info("key issued", "key_id", p.ID, "customer", p.Customer, "error", errorText(err))
+	return changeError(err)
+}
+
+// WithdrawKey withdraws a key. A key that is unknown here is withdrawn too,
+// as this node may be behind.
+func (s *service) WithdrawKey(ctx context.Context, p *api.WithdrawKeyPayload) (*api.WithdrawResult, error) {
+	_, known := s.backend.Snapshot().Keys[p.ID]
+	err := s.backend.Withdraw(ctx, p.ID)
+	s.log.Info("key withdrawn", "key_id", p.ID, "known", known, "error", errorText(err))
+	if err != nil {
+		return nil, changeError(err)
+	}
+	return &api.WithdrawResult{Known: known}, nil
+}
+
+// Status returns the node's view of the fleet.
+func (s *service) Status(context.Context, *api.Credential) (*api.FleetStatus, error) {
+	return fleetStatus(s.now(), s.backend.Snapshot(), s.backend.Status()), nil
+}
+
+// Drain starts or ends the draining of a member.
+func (s *service) Drain(ctx context.Context, p *api.DrainPayload) error {
+	id := state.MemberID(p.ID)
+	if _, live := s.backend.Snapshot().Members[id]; !live {
+		return api.MakeNotFound(fmt.Errorf("no live member has the ID %q", p.ID))
+	}
+	err := s.backend.SetDraining(ctx, id, p.On)
+	s.log.Info("draining set", "member", p.ID, "draining", p.On, "error", errorText(err))
+	return changeError(err)
+}
+
+// Remove records the end of a member; one that has ended stays so.
+func (s *service) Remove(ctx context.Context, p *api.RemovePayload) error {
+	id := state.MemberID(p.ID)
+	snap := s.backend.Snapshot()
+	if snap.Ended[id] {
+		return nil
+	}
+	if _, live := snap.Members[id]; !live {
+		return api.MakeNotFound(fmt.Errorf("no live member has the ID %q", p.ID))
+	}
+	err := s.backend.Remove(ctx, id)
+	s.log.Info("member removed", "member", p.ID, "error", errorText(err))
+	return changeError(err)
+}
+
+// ReportBurn returns the node's own service-level burn.
+func (s *service) ReportBurn(context.Context, *api.Credential) (*api.BurnReport, error) {
+	return burnReport(s.backend.Status().Self, s.now(), s.backend.Burn()), nil
+}
+
+// Health tells whether the node can serve.
+func (s *service) Health(context.Context) (*api.NodeHealth, error) {
+	snap := s.backend.Snapshot()
+	self := s.backend.Status().Self
+	h := &api.NodeHealth{Status: "ok", Member: string(self), Version: snap.Version}
+	switch {
+	case snap.Config == nil:
+		h.Status = "starting"
+	case snap.Members[self].Draining || snap.Ended[self]:
+		h.Status = "draining"
+	}
+	return h, nil
+}
+
+// changeError maps an error of the Backend to one of the design.
+func changeError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, ErrNotFound):
+		return api.MakeNotFound(err)
+	case mayHaveRun(err):
+		return api.MakeUnknownOutcome(err)
+	}
+	return api.MakeUnavailable(err)
+}
+
+func mayHaveRun(err error) bool {
+	return errors.Is(err, platform.ErrOutcomeUnknown) ||
+		errors.Is(err, context.DeadlineExceeded) ||
+		errors.Is(err, context.Canceled)
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/cmd/gooseberryctl/app.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+const (
+	envPrefix      = "GOOSEBERRYCTL"
+	defaultAdmin   = "127.0.0.1:7403"
+	defaultTimeout = 30 * time.Second
+)
+
+const rootHelp = `gooseberryctl administers a fleet through any of its nodes.
+
+  gooseberryctl get > fleet.toml            fetch the operators' file
+  gooseberryctl apply --dry-run fleet.toml  see what an edited file would change
+  gooseberryctl apply fleet.toml            put it in force, whole or not at all
+  gooseberryctl key issue golf              make a key for a customer
+  gooseberryctl status                      members, versions and lag
+
+Flags go before arguments. --admin, --token, --json and --timeout can be given
+to every command or, before it, to gooseberryctl itself, or in the environment:
+GOOSEBERRYCTL_ADMIN, GOOSEBERRYCTL_TOKEN, and so on. Several --admin addresses
+are tried in turn; every command is safe to repeat.
+
+EXIT CODES
+  0  done
+  1  failed; nothing was changed
+  2  wrong usage
+  3  rejected; nothing was changed
+  4  unknown: the change may have been made; repeat it as the message says
+  5  no node could be reached; nothing was changed`
+
+// app is one run of the tool.
+type app struct {
+	stdout io.Writer
+	stderr io.Writer
+
+	admin   string
+	token   string
+	json    bool
+	timeout time.Duration
+}
+
+func newApp(stdout, stderr io.Writer) *app {
+	return &app{stdout: stdout, stderr: stderr}
+}
+
+// extraCommands adds commands that are defined in files of their own.
+var extraCommands []func(a *app) *ffcli.Command
+
+// run parses and runs one command and returns the exit code.
+func (a *app) run(ctx context.Context, args []string) int {
+	root := a.root()
+	err := root.Parse(args)
+	if err == nil {
+		err = root.Run(ctx)
+	} else if !errors.Is(err, flag.ErrHelp) {
+		err = &exitError{exitUsage, err}
+	}
+	if errors.Is(err, flag.ErrHelp) {
+		return exitOK
+	}
+	if err != nil {
+		fmt.Fprintf(a.stderr, "gooseberryctl: %s\n", err)
+	}
+	return exitCode(err)
+}
+
+func (a *app) root() *ffcli.Command {
+	root := a.command("gooseberryctl", "gooseberryctl [flags] COMMAND", "", rootHelp)
+	root.Options = []ff.Option{ff.WithEnvVarPrefix(envPrefix)}
+	root.Subcommands = []*ffcli.Command{
+		a.applyCommand(),
+		a.getCommand(),
+		a.statusCommand(),
+		a.keyCommand(),
+		a.drainCommand(),
+		a.removeCommand(),
+		a.reportCommand(),
+		a.devcertCommand(),
+		a.versionCommand(),
+	}
+	for _, extra := range extraCommands {
+		root.Subcommands = append(root.Subcommands, extra(a))
+	}
+	root.Exec = groupExec(root)
+	return root
+}
+
+// command returns a command with the common flags.
+func (a *app) command(name, usage, short, long string) *ffcli.Command {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(a.stderr)
+	fs.StringVar(&a.admin, "admin", defaultAdmin, "admin `addresses` of nodes, separated by commas")
+	fs.StringVar(&a.token, "token", "", "operator's `token`; better given in "+envPrefix+"_TOKEN")
+	fs.BoolVar(&a.json, "json", false, "write JSON")
+	fs.DurationVar(&a.timeout, "timeout", defaultTimeout, "`duration` after which to give up")
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: usage,
+		ShortHelp:  short,
+		LongHelp:   long,
+		FlagSet:    fs,
+	}
+}
+
+// groupExec explains a group of commands when none of them is named.
+func groupExec(group *ffcli.Command) func(context.Context, []string) error {
+	return func(_ context.Context, args []string) error {
+		if len(args) > 0 {
+			return exitf(exitUsage, "%s has no command %q; see --help", group.Name, args[0])
+		}
+		fmt.Fprintln(group.FlagSet.Output(), ffcli.DefaultUsageFunc(group))
+		return exitf(exitUsage, "name a command")
+	}
+}
+
+// exec adapts a function to a command that takes the named arguments and ends
+// after the timeout.
+func (a *app) exec(argNames []string, f func(ctx context.Context, args []string) error) func(context.Context, []string) error {
+	return func(ctx context.Context, args []string) error {
+		if len(args) != len(argNames) {
+			return exitf(exitUsage, "want %d arguments %v, got %d (flags go before arguments); see --help",
+				len(argNames), argNames, len(args))
+		}
+		ctx, stop := context.WithTimeout(ctx, a.timeout)
+		defer stop()
+		return f(ctx, args)
+	}
+}
+
+// writeJSON writes a value as indented JSON.
+func (a *app) writeJSON(v any) error {
+	enc := json.NewEncoder(a.stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+// done reports a change without further result.
+func (a *app) done(status, id string) error {
+	if a.json {
+		return a.writeJSON(doneOutput{Status: status, ID: id})
+	}
+	_, err := fmt.Fprintf(a.stdout, "%s: %s\n", status, id)
+	return err
+}
+
+type doneOutput struct {
+	Status string `json:"status"`
+	ID     string `json:"id"`
+}
--- /dev/null
+++ b/cmd/gooseberryctl/key.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	api "github.com/gooseberryflow/gooseberryflow/admin/gen/admin"
+	"github.com/gooseberryflow/gooseberryflow/config"
+)
+
+const issueHelp = `Makes a key for a customer of the file in force and writes its text to standard
+output. The text is shown this once: the secret is made here, and only a salted
+hash of it is sent. Callers present the text as a bearer token.`
+
+const withdrawHelp = `Withdraws a key for good. ID is the middle part of the key's text gbf_ID_SECRET.
+Any node takes it, also while the platform's log is away.`
+
+func (a *app) keyCommand() *ffcli.Command {
+	group := a.command("key", "gooseberryctl key issue|withdraw [flags] ...", "issue and withdraw callers' keys", "")
+	issue := a.command("issue", "gooseberryctl key issue [flags] CUSTOMER", "make a key for a customer", issueHelp)
+	issue.Exec = a.exec([]string{"CUSTOMER"}, a.issueKey)
+	withdraw := a.command("withdraw", "gooseberryctl key withdraw [flags] ID", "withdraw a key for good", withdrawHelp)
+	withdraw.Exec = a.exec([]string{"ID"}, a.withdrawKey)
+	group.Subcommands = []*ffcli.Command{issue, withdraw}
+	group.Exec = groupExec(group)
+	return group
+}
+
+type keyOutput struct {
+	Key      string `json:"key"`
+	ID       string `json:"id"`
+	Customer string `json:"customer"`
+}
+
+func (a *app) issueKey(ctx context.Context, args []string) error {
+	f, err := a.connect()
+	if err != nil {
+		return err
+	}
+	key, secret, err := config.NewKey(args[0])
+	if err != nil {
+		return err
+	}
+	p := &api.KeyPayload{ID: key.ID, Customer: key.Customer, Salt: key.Salt, Hash: key.Hash, Token: &a.token}
+	err = change(ctx, f, func(ctx context.Context, c *api.Client) error { return c.IssueKey(ctx, p) })
+	if exitCode(err) == exitUnknown {
+		return exitf(exitUnknown, "%w\nthe key may exist; its text is lost, so withdraw it with:\n  gooseberryctl key withdraw %s", err, key.ID)
+	}
+	if err != nil {
+		return err
+	}
+	return a.showKey(keyOutput{config.KeyText(key.ID, secret), key.ID, key.Customer})
+}
+
+func (a *app) showKey(out keyOutput) error {
+	if a.json {
+		return a.writeJSON(out)
+	}
+	if _, err := fmt.Fprintln(a.stdout, out.Key); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(a.stderr, "key %s of %s; this is the only time its text is shown\n", out.ID, out.Customer)
+	return err
+}
+
+func (a *app) withdrawKey(ctx context.Context, args []string) error {
+	f, err := a.connect()
+	if err != nil {
+		return err
+	}
+	result, err := ask(ctx, f, func(ctx context.Context, c *api.Client) (*api.WithdrawResult, error) {
+		return c.WithdrawKey(ctx, &api.WithdrawKeyPayload{ID: args[0], Token: &a.token})
+	})
+	if err != nil {
+		return err
+	}
+	if !result.Known {
+		fmt.Fprintf(a.stderr, "the node had not heard of key %s; check the ID\n", args[0])
+	}
+	return a.done("withdrawn", args[0])
+}
