--- /dev/null
+++ b/auth/auth.go
@@ -0,0 +1,98 @@
+// Package auth is the plug-in that admits a root request only for the customer
+// whose key came with it.
+//
+// The key is checked against the current snapshot on every request, so that a
+// withdrawn key stops working on connections that are already open, too.
+// Nested calls carry no key: the node has already tied them to the root
+// request's customer through their call token.
+package auth
+
+import (
+	"context"
+
+	"github.com/gooseberryflow/gooseberryflow/config"
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+// Name is the plug-in's name in the settings.
+const Name = "auth"
+
+const chainOrder = 100
+
+func init() {
+	kernel.Register(kernel.Info{Name: Name, Order: chainOrder, New: func() kernel.Plugin { return &plugin{} }})
+}
+
+type plugin struct {
+	host *kernel.Host
+}
+
+// Provision keeps the host.
+func (p *plugin) Provision(h *kernel.Host) error {
+	p.host = h
+	return nil
+}
+
+// Validate has nothing to check.
+func (p *plugin) Validate() error { return nil }
+
+// Cleanup has nothing to release.
+func (p *plugin) Cleanup() error { return nil }
+
+// WrapEntry refuses root requests without a valid key, except on open routes.
+func (p *plugin) WrapEntry(next kernel.Handler) kernel.Handler {
+	return kernel.HandlerFunc(func(ctx context.Context, c *kernel.Call) *kernel.Result {
+		if c.Nested() {
+			return next.Serve(ctx, c)
+		}
+		if refusal := p.authenticate(ctx, c); refusal != nil {
+			return refusal
+		}
+		return next.Serve(ctx, c)
+	})
+}
+
+// authenticate sets the customer of a root request. On an open route a key is
+// neither needed nor looked at.
+func (p *plugin) authenticate(ctx context.Context, c *kernel.Call) *kernel.Result {
+	s := p.host.Snapshot()
+	if isOpen(s, c) {
+		return nil
+	}
+	text := kernel.CredentialFrom(ctx).Key
+	if text == "" {
+		return kernel.Refuse(kernel.ReasonNoKey, "this route needs a key: Authorization: Bearer KEY", 0)
+	}
+	key, ok := lookup(s, text)
+	if !ok {
+		return kernel.Refuse(kernel.ReasonBadKey, "the key is unknown or withdrawn", 0)
+	}
+	c.Customer = key.Customer
+	return nil
+}
+
+func isOpen(s *state.Snapshot, c *kernel.Call) bool {
+	for _, r := range s.Routes(c.Service) {
+		if r.Name == c.RouteName {
+			return r.Open
+		}
+	}
+	return false
+}
+
+// lookup returns the key record that matches a key text.
+func lookup(s *state.Snapshot, text string) (config.Key, bool) {
+	id, secret, ok := config.SplitKey(text)
+	if !ok {
+		return config.Key{}, false
+	}
+	key, ok := s.Keys[id]
+	if !ok || s.Withdrawn[id] {
+		return config.Key{}, false
+	}
+	if _, known := s.Customer(key.Customer); !known {
+		return config.Key{}, false
+	}
+	return key, key.Verify(secret)
+}
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -79,3 +79,23 @@
 		return cbor.Marshal(resp)
 	})
 }
+
+// Credential is what came with a request to prove who sent it.
+type Credential struct {
+	// Key is the caller's key text; empty if none was sent.
+	Key string
+}
+
+type credentialKey struct{}
+
+// WithCredential attaches a credential to a request's context. It travels only
+// within the entry node: a Call has no field for it.
+func WithCredential(ctx context.Context, c Credential) context.Context {
+	return context.WithValue(ctx, credentialKey{}, c)
+}
+
+// CredentialFrom returns the credential of a request.
+func CredentialFrom(ctx context.Context) Credential {
+	c, _ := ctx.Value(credentialKey{}).(Credential)
+	return c
+}
--- /dev/null
+++ b/node/admin.go
@@ -0,0 +1,30 @@
+package node
+
+import "net/http"
+
+// adminHandler serves health, readiness and metrics.
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", n.healthy)
+	mux.HandleFunc("GET /readyz", n.ready)
+	mux.HandleFunc("GET /debug/vars", n.serveMetrics)
+	return mux
+}
+
+func (n *Node) healthy(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusOK)
+}
+
+// ready tells whether the node takes new requests.
+func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
+	if n.stopping.Load() || n.host.Snapshot().Config == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	_, _ = w.Write([]byte(n.metrics.vars.String()))
+}
--- /dev/null
+++ b/node/forward.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+// callKind is the message kind of a call from the entry node to the owner.
+const callKind = "node.call"
+
+// comeBackNoOwner is told when a call's owner node could not be reached.
+const comeBackNoOwner = 500 * time.Millisecond
+
+// callMessage carries a call to its owner node. The deadline travels as time
+// left, so that the nodes' clocks need not agree.
+type callMessage struct {
+	Call        kernel.Call `cbor:"1,keyasint"`
+	RemainingMS int64       `cbor:"2,keyasint"`
+}
+
+// forward carries a call to its owner node and returns the owner's result.
+func (n *Node) forward(ctx context.Context, owner state.Member, c *kernel.Call) *kernel.Result {
+	attempt := *c
+	attempt.ID = newID()
+	if owner.ID == n.self.ID {
+		return n.own(ctx, &attempt)
+	}
+	n.metrics.forwarded.Add(1)
+	remaining := c.Deadline().Sub(n.host.Now()).Milliseconds()
+	if remaining <= 0 {
+		return kernel.Refuse(kernel.ReasonDeadline, "the deadline passed before the call was sent", 0)
+	}
+	body, err := cbor.Marshal(callMessage{Call: attempt, RemainingMS: remaining})
+	if err != nil {
+		return kernel.Refuse(kernel.ReasonInternal, "encode call: "+err.Error(), 0)
+	}
+	answer, err := n.network.Call(ctx, owner, callKind, body)
+	if err != nil {
+		return lostCall(ctx, owner, err)
+	}
+	var result kernel.Result
+	if err := cbor.Unmarshal(answer, &result); err != nil {
+		return kernel.Unknown(kernel.ReasonInternal, "decode result: "+err.Error())
+	}
+	result.Owner = owner.ID
+	return &result
+}
+
+// lostCall classifies a call whose result did not arrive.
+func lostCall(ctx context.Context, owner state.Member, err error) *kernel.Result {
+	var r *kernel.Result
+	switch {
+	case errors.Is(err, kernel.ErrNotSent):
+		r = kernel.Refuse(kernel.ReasonNoUpstream, "the owner node can't be reached", comeBackNoOwner)
+	case ctx.Err() != nil:
+		r = endedEarly(ctx)
+	default:
+		r = kernel.Unknown(kernel.ReasonUpstream, "the owner node went away while the call ran")
+		r.Lost = true
+	}
+	r.Owner = owner.ID
+	return r
+}
+
+// receiveCall serves a call message at the owner node.
+func (n *Node) receiveCall(ctx context.Context, _ state.MemberID, body []byte) ([]byte, error) {
+	var m callMessage
+	if err := cbor.Unmarshal(body, &m); err != nil {
+		return nil, fmt.Errorf("decode call: %w", err)
+	}
+	deadline := n.host.Now().Add(time.Duration(m.RemainingMS) * time.Millisecond)
+	m.Call.DeadlineMS = deadline.UnixMilli()
+	ctx, stop := context.WithDeadline(ctx, deadline)
+	defer stop()
+	return cbor.Marshal(n.own(ctx, &m.Call))
+}
+
+// own runs the owner chain. Calls are counted, so that a planned stop can wait
+// for them; once it has begun, new trees are refused.
+func (n *Node) own(ctx context.Context, c *kernel.Call) *kernel.Result {
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	n.metrics.inFlight.Add(1)
+	defer n.metrics.inFlight.Add(-1)
+	if n.stopping.Load() {
+		r := kernel.Refuse(kernel.ReasonDraining, "the owner node is stopping", comeBackDraining)
+		r.Load = &kernel.Load{Draining: true}
+		r.Owner = n.self.ID
+		return r
+	}
+	r := n.owner.Serve(ctx, c)
+	r.Owner = n.self.ID
+	return r
+}
--- /dev/null
+++ b/node/header.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// Headers that the system itself reads or sets. All share one prefix, so that
+// a forged one can be recognised and removed.
+const (
+	headerPrefix       = "Gooseberry-"
+	headerToken        = "Gooseberry-Call-Token"
+	headerOutcome      = "Gooseberry-Outcome"
+	headerReason       = "Gooseberry-Reason"
+	headerRetryAfterMS = "Gooseberry-Retry-After-Ms"
+	headerRequestID    = "Gooseberry-Request-Id"
+	headerDeadlineMS   = "Gooseberry-Deadline-Ms"
+	headerCustomer     = "Gooseberry-Customer"
+	headerIdempotency  = "Idempotency-Key"
+	headerAuthorize    = "Authorization"
+	bearerPrefix       = "Bearer "
+)
+
+// hopByHop lists the headers that concern one connection only (RFC 9110, 7.6.1).
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Content-Length",
+}
+
+// cleanRequestHeader returns the caller's headers without those that must not
+// reach an upstream: the key, hop-by-hop headers and forged internal ones.
+func cleanRequestHeader(in http.Header) http.Header {
+	out := cleanHeader(in)
+	out.Del(headerAuthorize)
+	out.Del(headerIdempotency)
+	out.Del("Host")
+	return out
+}
+
+// cleanHeader returns a copy without hop-by-hop and internal headers.
+func cleanHeader(in http.Header) http.Header {
+	out := make(http.Header, len(in))
+	for name, values := range in {
+		if strings.HasPrefix(textproto.CanonicalMIMEHeaderKey(name), headerPrefix) {
+			continue
+		}
+		out[name] = values
+	}
+	for _, list := range in.Values("Connection") {
+		for _, name := range strings.Split(list, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
+
+// bearer returns the key text of an Authorization header.
+func bearer(h http.Header) string {
+	text := h.Get(headerAuthorize)
+	if len(text) < len(bearerPrefix) || !strings.EqualFold(text[:len(bearerPrefix)], bearerPrefix) {
+		return ""
+	}
+	return strings.TrimSpace(text[len(bearerPrefix):])
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,350 @@
+// Package node wires one node of the system: the front for callers, the entry
+// and owner chains, the hand-over to the upstream beside it, the transport to
+// the other nodes and the membership service.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/membership"
+	"github.com/gooseberryflow/gooseberryflow/peer"
+	"github.com/gooseberryflow/gooseberryflow/platform"
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+// Defaults and fixed limits.
+const (
+	DefaultBodyLimitBytes = 1 << 20
+	DefaultStopTimeout    = 30 * time.Second
+	readHeaderTimeout     = 5 * time.Second
+	idleTimeout           = 2 * time.Minute
+	drainPoll             = 10 * time.Millisecond
+	// drainNotice is how long a stopping node still takes calls from nodes
+	// that have not yet heard that it leaves.
+	drainNotice   = 200 * time.Millisecond
+	resignTimeout = 3 * time.Second
+)
+
+// ErrEnded reports that the fleet has recorded the end of this incarnation,
+// for instance after a long pause. The caller starts a new Node.
+var ErrEnded = errors.New("this incarnation has been ended by the fleet")
+
+// Settings configure a node.
+type Settings struct {
+	Service       string
+	FailureDomain string
+	// Addresses are IP:port; port 0 lets the kernel choose.
+	CallerAddr     string
+	ControlAddr    string
+	CallAddr       string
+	AdminAddr      string
+	UpstreamAddr   string
+	Identity       peer.Identity
+	Carrier        peer.Carrier
+	Plugins        []string
+	First          []string
+	OperatorTokens []string
+	BodyLimitBytes int64
+	StopTimeout    time.Duration
+}
+
+// Node is one running node.
+type Node struct {
+	settings   Settings
+	self       state.Member
+	host       *kernel.Host
+	plugins    *kernel.Set
+	entry      kernel.Handler
+	owner      kernel.Handler
+	network    *peer.Network
+	membership *membership.Service
+	upstream   *upstream
+	metrics    *metrics
+	log        *slog.Logger
+
+	callers     net.Listener
+	admin       net.Listener
+	callerHTTP  *http.Server
+	adminHTTP   *http.Server
+	stopping    atomic.Bool
+	inFlight    atomic.Int64
+	ended       chan struct{}
+	endOnce     sync.Once
+	background  sync.WaitGroup
+	stopRunning context.CancelFunc
+}
+
+// New opens the node's listeners and builds its chains; Run makes it serve.
+func New(s Settings, platformLog platform.Log, logger *slog.Logger) (*Node, error) {
+	if s.BodyLimitBytes == 0 {
+		s.BodyLimitBytes = DefaultBodyLimitBytes
+	}
+	if s.StopTimeout == 0 {
+		s.StopTimeout = DefaultStopTimeout
+	}
+	n := &Node{
+		settings: s,
+		metrics:  newMetrics(),
+		log:      logger,
+		ended:    make(chan struct{}),
+	}
+	n.self = state.Member{
+		ID:      state.MemberID(uuid.NewString()),
+		Service: s.Service,
+		Domain:  s.FailureDomain,
+	}
+	if err := n.listen(); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
+	if err := n.build(platformLog); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) listen() error {
+	var err error
+	s := n.settings
+	n.network, err = peer.Listen(peer.Options{
+		Self:        n.self.ID,
+		Identity:    s.Identity,
+		ControlAddr: s.ControlAddr,
+		CallAddr:    s.CallAddr,
+		Carrier:     s.Carrier,
+	})
+	if err != nil {
+		return err
+	}
+	if n.callers, err = net.Listen("tcp", s.CallerAddr); err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	if n.admin, err = net.Listen("tcp", s.AdminAddr); err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	n.self.ControlAddr = n.network.ControlAddr()
+	n.self.CallAddr = n.network.CallAddr()
+	n.self.CallerAddr = n.callers.Addr().String()
+	return nil
+}
+
+// build makes the membership service, the host and the chains.
+func (n *Node) build(platformLog platform.Log) error {
+	n.membership = membership.New(membership.Options{
+		Self:    n.self,
+		Log:     platformLog,
+		Peers:   n.network,
+		First:   n.settings.First,
+		Now:     time.Now,
+		Rand:    rand.Uint64,
+		Logger:  n.log,
+		OnEnded: n.markEnded,
+	})
+	n.host = &kernel.Host{
+		Self:     n.self,
+		Now:      time.Now,
+		Rand:     rand.Uint64,
+		Snapshot: n.membership.Snapshot,
+		Peers:    n.network,
+		Platform: platformLog,
+		Log:      n.log,
+		Forward:  n.forward,
+		Go:       n.background.Go,
+	}
+	n.upstream = newUpstream(n.settings.UpstreamAddr, n.settings.BodyLimitBytes, n.host.Now, n.metrics)
+	var err error
+	if n.plugins, err = kernel.NewSet(n.host, n.settings.Plugins); err != nil {
+		return err
+	}
+	n.entry = n.plugins.Entry(kernel.HandlerFunc(noRoute))
+	n.owner = n.plugins.Owner(n.upstream)
+	n.network.Handle(callKind, n.receiveCall)
+	n.callerHTTP = n.server(n)
+	n.adminHTTP = n.server(n.adminHandler())
+	return nil
+}
+
+// noRoute ends an entry chain without a routing plug-in.
+func noRoute(context.Context, *kernel.Call) *kernel.Result {
+	return kernel.Refuse(kernel.ReasonNoUpstream, "no routing plug-in is configured", 0)
+}
+
+func (n *Node) server(h http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           n.recoverPanics(h),
+		Protocols:         protocols,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+}
+
+// Member returns the node's announced identity with its bound addresses.
+func (n *Node) Member() state.Member { return n.self }
+
+// AdminAddr returns the bound address for operators.
+func (n *Node) AdminAddr() string { return n.admin.Addr().String() }
+
+// Snapshot returns the current state.
+func (n *Node) Snapshot() *state.Snapshot { return n.membership.Snapshot() }
+
+// Run serves until ctx ends, then stops as planned: new work is refused, every
+// call in flight finishes, state is handed over. It returns nil after a whole
+// stop, ErrEnded when the incarnation was ended, or what went wrong.
+func (n *Node) Run(ctx context.Context) error {
+	running, stop := context.WithCancel(context.Background())
+	n.stopRunning = stop
+	defer stop()
+	n.background.Go(func() { n.runMembership(running) })
+	n.background.Go(func() { n.tick(running) })
+	failed := make(chan error, 2)
+	go func() { failed <- n.callerHTTP.Serve(n.callers) }()
+	go func() { failed <- n.adminHTTP.Serve(n.admin) }()
+	n.log.Info("node serves", "member", n.self.ID, "service", n.self.Service,
+		"failure_domain", n.self.Domain, "callers", n.self.CallerAddr,
+		"control", n.self.ControlAddr, "calls", n.self.CallAddr, "admin", n.AdminAddr())
+	select {
+	case <-ctx.Done():
+		return n.stop()
+	case <-n.ended:
+		n.Kill()
+		return ErrEnded
+	case err := <-failed:
+		n.Kill()
+		return fmt.Errorf("serve: %w", err)
+	}
+}
+
+func (n *Node) runMembership(ctx context.Context) {
+	if err := n.membership.Run(ctx); err != nil && ctx.Err() == nil {
+		n.log.Error("membership stopped", "error", err)
+	}
+}
+
+func (n *Node) tick(ctx context.Context) {
+	t := time.NewTicker(kernel.TickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			n.plugins.Tick(n.host.Now())
+		}
+	}
+}
+
+func (n *Node) markEnded() { n.endOnce.Do(func() { close(n.ended) }) }
+
+// stop is the planned stop.
+func (n *Node) stop() error {
+	n.log.Info("planned stop begins", "in_flight", n.inFlight.Load())
+	limit, cancel := context.WithTimeout(context.Background(), n.settings.StopTimeout)
+	defer cancel()
+	if err := n.membership.SetDraining(limit, n.self.ID, true); err != nil {
+		n.log.Warn("draining could not be announced", "error", err)
+	}
+	waitContext(limit, drainNotice)
+	n.stopping.Store(true)
+	left := n.awaitIdle(limit)
+	n.handOver()
+	err := n.callerHTTP.Shutdown(limit)
+	n.Kill()
+	if left > 0 || err != nil {
+		return fmt.Errorf("stop limit passed with %d calls in flight: %w", left, context.DeadlineExceeded)
+	}
+	n.log.Info("planned stop is complete")
+	return nil
+}
+
+// awaitIdle waits until no call is in flight and returns how many are left at
+// the limit.
+func (n *Node) awaitIdle(limit context.Context) int64 {
+	for n.inFlight.Load() > 0 && limit.Err() == nil {
+		waitContext(limit, drainPoll)
+	}
+	return n.inFlight.Load()
+}
+
+func (n *Node) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
+	defer cancel()
+	n.plugins.Resign(ctx)
+	if err := n.membership.Resign(ctx); err != nil {
+		n.log.Warn("resignation was not recorded", "error", err)
+	}
+}
+
+// Kill ends the node at once, as a crash would: calls in flight are cut.
+func (n *Node) Kill() {
+	if n.stopRunning != nil {
+		n.stopRunning()
+	}
+	n.closeListeners()
+	if n.plugins != nil {
+		_ = n.plugins.Cleanup()
+	}
+	n.background.Wait()
+}
+
+func (n *Node) closeListeners() {
+	if n.callerHTTP != nil {
+		_ = n.callerHTTP.Close()
+	}
+	if n.adminHTTP != nil {
+		_ = n.adminHTTP.Close()
+	}
+	for _, l := range []net.Listener{n.callers, n.admin} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+	if n.network != nil {
+		n.network.Close()
+	}
+}
+
+func waitContext(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// recoverPanics answers a request whose handling broke an invariant and lets
+// the node go on serving others.
+func (n *Node) recoverPanics(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			cause := recover()
+			if cause == nil || cause == http.ErrAbortHandler {
+				return
+			}
+			n.metrics.panics.Add(1)
+			n.log.Error("request handling panicked", "cause", fmt.Sprint(cause))
+			n.write(w, &kernel.Call{Method: r.Method}, kernel.Unknown(kernel.ReasonInternal, "internal error"))
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) observe(_ *kernel.Call, r *kernel.Result, _ time.Duration) {
+	n.metrics.count(r)
+}
--- /dev/null
+++ b/node/route.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"strings"
+
+	"github.com/gooseberryflow/gooseberryflow/config"
+)
+
+// findRoute returns the route for a method and path. A literal segment goes
+// before a parameter; validation of the operators' file excludes ties.
+func findRoute(routes []config.Route, method, path string) (*config.Route, bool) {
+	var best *config.Route
+	for i := range routes {
+		r := &routes[i]
+		if r.Method != method || !matches(r.Pattern, path) {
+			continue
+		}
+		if best == nil || literals(r.Pattern) > literals(best.Pattern) {
+			best = r
+		}
+	}
+	return best, best != nil
+}
+
+// matches compares a path with a pattern whose segments in braces match any
+// one non-empty segment.
+func matches(pattern, path string) bool {
+	for {
+		p, restPattern, moreP := strings.Cut(pattern, "/")
+		s, restPath, moreS := strings.Cut(path, "/")
+		if !segmentMatches(p, s) || moreP != moreS {
+			return false
+		}
+		if !moreP {
+			return true
+		}
+		pattern = restPattern
+		path = restPath
+	}
+}
+
+func segmentMatches(pattern, segment string) bool {
+	if isParameter(pattern) {
+		return segment != ""
+	}
+	return pattern == segment
+}
+
+func isParameter(s string) bool {
+	return strings.HasPrefix(s, "{") && strings.HasSuffix(s, "}")
+}
+
+func literals(pattern string) int {
+	n := 0
+	for _, s := range strings.Split(pattern, "/") {
+		if !isParameter(s) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/node/upstream.go
@@ -0,0 +1,174 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/retry"
+)
+
+const (
+	upstreamDialTimeout = 500 * time.Millisecond
+	upstreamIdleConns   = 512
+	upstreamIdleTimeout = 30 * time.Second
+)
+
+// upstream hands calls to the instance beside the node. It is the last handler
+// of the owner chain.
+type upstream struct {
+	address   string
+	client    *http.Client
+	tokens    *tokenTable
+	now       func() time.Time
+	bodyLimit int64
+	metrics   *metrics
+}
+
+func newUpstream(address string, bodyLimit int64, now func() time.Time, m *metrics) *upstream {
+	dialer := &net.Dialer{Timeout: upstreamDialTimeout}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConns:        upstreamIdleConns,
+		MaxIdleConnsPerHost: upstreamIdleConns,
+		IdleConnTimeout:     upstreamIdleTimeout,
+		DisableCompression:  true,
+	}
+	return &upstream{
+		address:   address,
+		client:    &http.Client{Transport: transport, CheckRedirect: keepRedirect},
+		tokens:    &tokenTable{},
+		now:       now,
+		bodyLimit: bodyLimit,
+		metrics:   m,
+	}
+}
+
+// keepRedirect passes redirects on to the caller.
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Serve runs the call on the upstream.
+func (u *upstream) Serve(ctx context.Context, c *kernel.Call) *kernel.Result {
+	if ctx.Err() != nil {
+		return kernel.Refuse(kernel.ReasonCancelled, "the call ended before it was handed over", 0)
+	}
+	r := &running{call: c, ctx: ctx, budget: retry.NewBudget(c.Allowance)}
+	token := u.tokens.add(r)
+	result := u.exchange(ctx, c, token)
+	u.tokens.remove(token)
+	result.UnusedAllowance = r.budget.Close()
+	return result
+}
+
+// exchange makes one HTTP request and reads the whole answer.
+func (u *upstream) exchange(ctx context.Context, c *kernel.Call, token string) *kernel.Result {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := u.request(httptrace.WithClientTrace(ctx, trace), c, token)
+	if err != nil {
+		return kernel.Refuse(kernel.ReasonBadRequest, err.Error(), 0)
+	}
+	u.metrics.upstreamCalls.Add(1)
+	resp, err := u.client.Do(req)
+	if err != nil {
+		return u.failed(ctx, connected.Load(), err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, u.bodyLimit+1))
+	if err != nil {
+		return u.failed(ctx, true, err)
+	}
+	if int64(len(body)) > u.bodyLimit {
+		return kernel.Unknown(kernel.ReasonUpstream, "the upstream's answer exceeds the body limit")
+	}
+	return u.answered(resp, body)
+}
+
+func (u *upstream) answered(resp *http.Response, body []byte) *kernel.Result {
+	if resp.Header.Get(headerOutcome) == kernel.OutcomeNotRun.String() {
+		return kernel.Refuse(kernel.ReasonOverload, "the upstream shed the call", retryAfter(resp.Header))
+	}
+	return &kernel.Result{
+		Outcome: kernel.OutcomeAnswered,
+		Status:  resp.StatusCode,
+		Header:  cleanHeader(resp.Header),
+		Body:    body,
+	}
+}
+
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// failed classifies an exchange without a whole answer. Before a connection
+// was had, nothing can have run.
+func (u *upstream) failed(ctx context.Context, connected bool, err error) *kernel.Result {
+	if !connected {
+		return kernel.Refuse(kernel.ReasonNoUpstream, "no connection to the upstream", 0)
+	}
+	if ctx.Err() != nil {
+		return endedEarly(ctx)
+	}
+	u.metrics.upstreamFailures.Add(1)
+	r := kernel.Unknown(kernel.ReasonUpstream, "the upstream's answer was not whole: "+plainCause(err))
+	r.Lost = true
+	return r
+}
+
+func endedEarly(ctx context.Context) *kernel.Result {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return kernel.Unknown(kernel.ReasonDeadline, "the deadline passed while the call ran")
+	}
+	return kernel.Unknown(kernel.ReasonCancelled, "the call was cancelled while it ran")
+}
+
+// plainCause returns the innermost error text, without the request's URL.
+func plainCause(err error) string {
+	for {
+		inner := errors.Unwrap(err)
+		if inner == nil {
+			return err.Error()
+		}
+		err = inner
+	}
+}
+
+// request builds the upstream's request. The body is wrapped so that net/http
+// cannot rewind it: its transport would otherwise repeat requests by itself.
+func (u *upstream) request(ctx context.Context, c *kernel.Call, token string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+u.address+c.Path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("request for the upstream: %w", err)
+	}
+	for name, values := range c.Header {
+		req.Header[name] = values
+	}
+	req.Body = io.NopCloser(strings.NewReader(string(c.Body)))
+	req.ContentLength = int64(len(c.Body))
+	if len(c.Body) == 0 {
+		req.ContentLength = -1
+	}
+	req.Header.Set(headerToken, token)
+	req.Header.Set(headerRequestID, formatID(c.Root))
+	req.Header.Set(headerDeadlineMS, strconv.FormatInt(c.Deadline().Sub(u.now()).Milliseconds(), 10))
+	if c.Customer != "" {
+		req.Header.Set(headerCustomer, c.Customer)
+	}
+	if c.IdempotencyKey != "" {
+		req.Header.Set(headerIdempotency, c.IdempotencyKey)
+	}
+	return req, nil
+}
--- /dev/null
+++ b/peer/conn.go
@@ -0,0 +1,234 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+// Errors seen by the requesting side.
+var (
+	// ErrConnLost means that the connection ended before the answer came; the
+	// peer may have acted on the request.
+	ErrConnLost = errors.New("connection to peer lost")
+	// ErrRemote wraps an error text returned by the peer's handler.
+	ErrRemote = errors.New("peer refused message")
+)
+
+const readBufferBytes = 32 << 10
+
+// handlerFunc serves one request frame.
+type handlerFunc func(ctx context.Context, kind string, from state.MemberID, body []byte) ([]byte, error)
+
+// conn multiplexes requests of both directions over one byte stream.
+type conn struct {
+	stream io.ReadWriteCloser
+	handle handlerFunc
+	nextID atomic.Uint64
+	// received counts frames read, to tell a silent peer from a slow answer.
+	received atomic.Uint64
+
+	writeMu sync.Mutex
+
+	mu      sync.Mutex
+	pending map[uint64]chan *frame
+	serving map[uint64]context.CancelFunc
+	closed  bool
+
+	done chan struct{}
+}
+
+// newConn starts reading from the stream.
+func newConn(stream io.ReadWriteCloser, handle handlerFunc) *conn {
+	c := &conn{
+		stream:  stream,
+		handle:  handle,
+		pending: make(map[uint64]chan *frame),
+		serving: make(map[uint64]context.CancelFunc),
+		done:    make(chan struct{}),
+	}
+	go c.readLoop()
+	return c
+}
+
+// request sends one message and waits for its answer. An error wraps
+// kernel.ErrNotSent only when no byte of the message was written.
+func (c *conn) request(ctx context.Context, kind string, from state.MemberID, body []byte) ([]byte, error) {
+	id := c.nextID.Add(1)
+	buf, err := encodeFrame(&frame{Type: frameRequest, ID: id, Kind: kind, From: from, Body: body})
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", kernel.ErrNotSent, err)
+	}
+	answer, err := c.expect(id)
+	if err != nil {
+		return nil, err
+	}
+	defer c.forget(id)
+	if err := c.write(buf); err != nil {
+		c.close()
+		return nil, fmt.Errorf("%w: %w", ErrConnLost, err)
+	}
+	select {
+	case f := <-answer:
+		if f.Fault != "" {
+			return nil, fmt.Errorf("%w: %s", ErrRemote, f.Fault)
+		}
+		return f.Body, nil
+	case <-c.done:
+		return nil, ErrConnLost
+	case <-ctx.Done():
+		c.sendCancel(id)
+		return nil, ctx.Err()
+	}
+}
+
+func (c *conn) expect(id uint64) (chan *frame, error) {
+	answer := make(chan *frame, 1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, fmt.Errorf("%w: %w", kernel.ErrNotSent, ErrConnLost)
+	}
+	c.pending[id] = answer
+	return answer, nil
+}
+
+func (c *conn) forget(id uint64) {
+	c.mu.Lock()
+	delete(c.pending, id)
+	c.mu.Unlock()
+}
+
+func (c *conn) sendCancel(id uint64) {
+	buf, err := encodeFrame(&frame{Type: frameCancel, ID: id})
+	if err != nil {
+		return
+	}
+	go func() { _ = c.write(buf) }()
+}
+
+func (c *conn) write(buf []byte) error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	_, err := c.stream.Write(buf)
+	return err
+}
+
+func (c *conn) readLoop() {
+	defer c.close()
+	r := bufio.NewReaderSize(c.stream, readBufferBytes)
+	for {
+		f, err := readFrame(r)
+		if err != nil {
+			return
+		}
+		c.received.Add(1)
+		c.dispatch(f)
+	}
+}
+
+func (c *conn) dispatch(f *frame) {
+	switch f.Type {
+	case frameRequest:
+		c.serve(f)
+	case frameAnswer:
+		c.deliver(f)
+	case frameCancel:
+		c.cancel(f.ID)
+	}
+}
+
+// deliver hands an answer to its request; an answer nobody waits for, late or
+// repeated, is dropped.
+func (c *conn) deliver(f *frame) {
+	c.mu.Lock()
+	answer := c.pending[f.ID]
+	delete(c.pending, f.ID)
+	c.mu.Unlock()
+	if answer != nil {
+		answer <- f
+	}
+}
+
+func (c *conn) cancel(id uint64) {
+	c.mu.Lock()
+	stop := c.serving[id]
+	c.mu.Unlock()
+	if stop != nil {
+		stop()
+	}
+}
+
+func (c *conn) serve(f *frame) {
+	ctx, stop := context.WithCancel(context.Background())
+	c.mu.Lock()
+	_, repeated := c.serving[f.ID]
+	if repeated || c.closed {
+		c.mu.Unlock()
+		stop()
+		return
+	}
+	c.serving[f.ID] = stop
+	c.mu.Unlock()
+	go func() {
+		defer c.served(f.ID, stop)
+		body, err := c.handle(ctx, f.Kind, f.From, f.Body)
+		c.answer(f.ID, body, err)
+	}()
+}
+
+func (c *conn) served(id uint64, stop context.CancelFunc) {
+	stop()
+	c.mu.Lock()
+	delete(c.serving, id)
+	c.mu.Unlock()
+}
+
+func (c *conn) answer(id uint64, body []byte, err error) {
+	f := &frame{Type: frameAnswer, ID: id, Body: body}
+	if err != nil {
+		f.Body = nil
+		f.Fault = err.Error()
+	}
+	buf, err := encodeFrame(f)
+	if err != nil {
+		buf, _ = encodeFrame(&frame{Type: frameAnswer, ID: id, Fault: err.Error()})
+	}
+	if err := c.write(buf); err != nil {
+		c.close()
+	}
+}
+
+// close ends the connection and cancels everything it serves.
+func (c *conn) close() {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return
+	}
+	c.closed = true
+	stops := c.serving
+	c.serving = make(map[uint64]context.CancelFunc)
+	c.mu.Unlock()
+	for _, stop := range stops {
+		stop()
+	}
+	close(c.done)
+	_ = c.stream.Close()
+}
+
+func (c *conn) isClosed() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/peer/network.go
@@ -0,0 +1,222 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+// protocolName is the ALPN name; it changes with an incompatible frame format.
+const protocolName = "gooseberryflow/1"
+
+// Carrier names the transport that carries calls.
+type Carrier string
+
+// The carriers of calls.
+const (
+	// CarrierTLS is one TLS connection over TCP for each pair of nodes.
+	CarrierTLS Carrier = "tls"
+	// CarrierQUIC shares the long-lived QUIC stream of the control messages.
+	CarrierQUIC Carrier = "quic"
+	// CarrierQUICStream opens a QUIC stream for each call.
+	CarrierQUICStream Carrier = "quic-stream"
+)
+
+// Identity is a node's TLS material as PEM text.
+type Identity struct {
+	CA          string
+	Certificate string
+	Key         string
+}
+
+// TLSConfig returns a configuration for mutual TLS in both directions.
+func (i Identity) TLSConfig() (*tls.Config, error) {
+	pair, err := tls.X509KeyPair([]byte(i.Certificate), []byte(i.Key))
+	if err != nil {
+		return nil, fmt.Errorf("node certificate: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM([]byte(i.CA)) {
+		return nil, errors.New("node CA: no certificate in PEM text")
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{pair},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+		NextProtos:   []string{protocolName},
+	}, nil
+}
+
+// Options configure a Network.
+type Options struct {
+	Self     state.MemberID
+	Identity Identity
+	// ControlAddr (UDP) and CallAddr (TCP) are IP:port; port 0 lets the
+	// kernel choose.
+	ControlAddr string
+	CallAddr    string
+	Carrier     Carrier
+}
+
+// Network is a node's end of the transport between nodes. It implements
+// kernel.Peers.
+type Network struct {
+	self     state.MemberID
+	carrier  Carrier
+	control  *quicEnd
+	calls    *tlsEnd
+	handlers sync.Map // kind -> kernel.MessageHandler
+	links    sync.Map // linkKey -> *link
+	conns    sync.Map // *conn -> struct{}, accepted connections
+}
+
+type linkKey struct {
+	carrier Carrier
+	address string
+}
+
+// Listen opens both listeners and starts to serve.
+func Listen(o Options) (*Network, error) {
+	conf, err := o.Identity.TLSConfig()
+	if err != nil {
+		return nil, err
+	}
+	n := &Network{self: o.Self, carrier: o.Carrier}
+	if n.control, err = listenQUIC(o.ControlAddr, conf, n.accept); err != nil {
+		return nil, fmt.Errorf("listen for control messages on %s: %w", o.ControlAddr, err)
+	}
+	if n.calls, err = listenTLS(o.CallAddr, conf, n.accept); err != nil {
+		n.control.close()
+		return nil, fmt.Errorf("listen for calls on %s: %w", o.CallAddr, err)
+	}
+	return n, nil
+}
+
+// ControlAddr returns the bound UDP address.
+func (n *Network) ControlAddr() string { return n.control.address() }
+
+// CallAddr returns the bound TCP address.
+func (n *Network) CallAddr() string { return n.calls.address() }
+
+// Handle sets the handler for a kind of message.
+func (n *Network) Handle(kind string, h kernel.MessageHandler) { n.handlers.Store(kind, h) }
+
+// Request sends a control message over QUIC.
+func (n *Network) Request(ctx context.Context, to state.Member, kind string, body []byte) ([]byte, error) {
+	return n.send(ctx, CarrierQUIC, to.ControlAddr, kind, body)
+}
+
+// Call sends a message over the carrier for calls.
+func (n *Network) Call(ctx context.Context, to state.Member, kind string, body []byte) ([]byte, error) {
+	address := to.ControlAddr
+	if n.carrier == CarrierTLS {
+		address = to.CallAddr
+	}
+	return n.send(ctx, n.carrier, address, kind, body)
+}
+
+func (n *Network) send(ctx context.Context, carrier Carrier, address, kind string, body []byte) ([]byte, error) {
+	if carrier == CarrierQUICStream {
+		return n.sendOnStream(ctx, address, kind, body)
+	}
+	return n.link(carrier, address).request(ctx, func(c *conn) ([]byte, error) {
+		return c.request(ctx, kind, n.self, body)
+	})
+}
+
+func (n *Network) sendOnStream(ctx context.Context, address, kind string, body []byte) ([]byte, error) {
+	stream, err := n.control.dial(ctx, address)
+	if err != nil {
+		return nil, fmt.Errorf("%w: dial %s: %w", kernel.ErrNotSent, address, err)
+	}
+	c := newConn(stream, n.serve)
+	defer c.close()
+	return c.request(ctx, kind, n.self, body)
+}
+
+func (n *Network) link(carrier Carrier, address string) *link {
+	key := linkKey{carrier, address}
+	if l, ok := n.links.Load(key); ok {
+		return l.(*link)
+	}
+	dial := n.control.dial
+	if carrier == CarrierTLS {
+		dial = n.calls.dial
+	}
+	l, _ := n.links.LoadOrStore(key, &link{address: address, dial: dial, handle: n.serve})
+	return l.(*link)
+}
+
+// accept serves a stream opened by a peer.
+func (n *Network) accept(stream io.ReadWriteCloser) {
+	c := newConn(stream, n.serve)
+	n.conns.Store(c, struct{}{})
+	go func() {
+		<-c.done
+		n.conns.Delete(c)
+	}()
+}
+
+func (n *Network) serve(ctx context.Context, kind string, from state.MemberID, body []byte) ([]byte, error) {
+	h, ok := n.handlers.Load(kind)
+	if !ok {
+		return nil, fmt.Errorf("no handler for message kind %q", kind)
+	}
+	return h.(kernel.MessageHandler)(ctx, from, body)
+}
+
+// Close ends all connections and listeners.
+func (n *Network) Close() {
+	n.links.Range(func(_, l any) bool {
+		l.(*link).close()
+		return true
+	})
+	n.conns.Range(func(c, _ any) bool {
+		c.(*conn).close()
+		return true
+	})
+	n.control.close()
+	n.calls.close()
+}
+
+// tlsEnd listens and dials TLS over TCP.
+type tlsEnd struct {
+	listener net.Listener
+	conf     *tls.Config
+}
+
+func listenTLS(address string, conf *tls.Config, accept func(io.ReadWriteCloser)) (*tlsEnd, error) {
+	listener, err := tls.Listen("tcp", address, conf)
+	if err != nil {
+		return nil, err
+	}
+	go func() {
+		for {
+			stream, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accept(stream)
+		}
+	}()
+	return &tlsEnd{listener: listener, conf: conf}, nil
+}
+
+func (e *tlsEnd) address() string { return e.listener.Addr().String() }
+
+func (e *tlsEnd) dial(ctx context.Context, address string) (io.ReadWriteCloser, error) {
+	d := tls.Dialer{Config: e.conf}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+func (e *tlsEnd) close() { _ = e.listener.Close() }
