--- /dev/null
+++ b/retry/decide.go
@@ -0,0 +1,53 @@
+package retry
+
+import (
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+)
+
+// keepMin is the smallest allowance of which one unit is kept back for the
+// loss of the whole attempt.
+const keepMin = 2
+
+// kept returns the units that this hop keeps while an attempt runs.
+func kept(c *kernel.Call, allowance int) int {
+	if c.Idempotent && allowance >= keepMin {
+		return 1
+	}
+	return 0
+}
+
+// left returns the allowance after an attempt that was lent some units while
+// keep units stayed here.
+func left(r *kernel.Result, lent, keep int) int {
+	if r.Outcome == kernel.OutcomeNotRun {
+		return keep + lent
+	}
+	returned := min(max(r.UnusedAllowance, 0), lent)
+	return keep + returned
+}
+
+// retryable tells whether the failure is one that another owner may not have.
+func retryable(c *kernel.Call, r *kernel.Result) bool {
+	switch r.Outcome {
+	case kernel.OutcomeNotRun:
+		return retryableReason(r.Reason)
+	case kernel.OutcomeUnknown:
+		return c.Idempotent && r.Reason != kernel.ReasonCancelled && r.Reason != kernel.ReasonNoParent
+	}
+	return false
+}
+
+func retryableReason(reason kernel.Reason) bool {
+	switch reason {
+	case kernel.ReasonOverload, kernel.ReasonDraining, kernel.ReasonNoUpstream, kernel.ReasonNotReady:
+		return true
+	}
+	return false
+}
+
+// inTime reports whether an attempt may still start.
+func inTime(c *kernel.Call, now time.Time) bool {
+	return c.DeadlineMS == 0 || now.Before(c.Deadline())
+}
