--- /dev/null
+++ b/experiment/deployment.go
@@ -0,0 +1,218 @@
+// Package experiment drives a whole fleet in one process: nodes with the real
+// transport between them, stand-ins for upstreams and the platform's log, and
+// callers that arrive independently of the answers (open loop). It measures
+// the goodput of whole requests, recovery, the worst-served customer, wrongful
+// refusals and duplicated actions.
+package experiment
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/config"
+	"github.com/gooseberryflow/gooseberryflow/internal/standin"
+)
+
+// Service is one service of a deployment.
+type Service struct {
+	Name string
+	// Instances stand round robin over the failure domains.
+	Instances int
+	// Slots and Queue are per instance.
+	Slots int
+	Queue int
+	Works []standin.Work
+}
+
+// Route is a route of the operators' file.
+type Route struct {
+	Name       string
+	Service    string
+	Method     string
+	Path       string
+	Idempotent bool
+	Priority   config.Priority
+}
+
+// Request is a kind of root request and its part of each customer's traffic.
+type Request struct {
+	Route string
+	// Share is the fraction of requests of this kind; the shares sum to 1.
+	Share float64
+	// Calls is the number of calls of a whole answer's tree.
+	Calls int
+}
+
+// Customer is a tenant of a deployment.
+type Customer struct {
+	Name string
+	// Demand is the calm arrival rate in requests per second.
+	Demand float64
+	// Rate and Burst are the limits in the operators' file.
+	Rate  float64
+	Burst float64
+}
+
+// Deployment is a call graph with its customers.
+type Deployment struct {
+	Name      string
+	Domains   []string
+	Services  []Service
+	Routes    []Route
+	Requests  []Request
+	Customers []Customer
+	// Deep is the service slowed during the surge.
+	Deep string
+	// Deadline is the deadline of every route and the callers' patience.
+	Deadline time.Duration
+	// Allowance is the number of retries for a root request's tree.
+	Allowance int
+}
+
+// Logistics is a booking graph over three failure domains, scaled down from
+// the brief's second deployment so that one process carries it.
+func Logistics() Deployment {
+	return Deployment{
+		Name:    "logistics",
+		Domains: []string{"ch-west-a", "ch-west-b", "ch-west-c"},
+		Services: []Service{
+			{Name: "logbook", Instances: 3, Slots: 40, Queue: 200, Works: []standin.Work{
+				{Prefix: "/", Time: 5 * time.Millisecond},
+			}},
+			{Name: "healthdesk", Instances: 3, Slots: 4, Queue: 40, Works: []standin.Work{
+				{Prefix: "/treatments/", Time: 20 * time.Millisecond},
+				{Prefix: "/", Time: 20 * time.Millisecond},
+			}},
+			{Name: "planner", Instances: 5, Slots: 24, Queue: 160, Works: []standin.Work{
+				{Prefix: "/slots/", Time: 10 * time.Millisecond, Children: []string{
+					"GET /healthdesk/checks/{id}", "GET /logbook/entries/{id}",
+				}},
+			}},
+			{Name: "booker", Instances: 3, Slots: 40, Queue: 250, Works: []standin.Work{
+				{Prefix: "/bookings/", Time: 10 * time.Millisecond, Children: []string{
+					"GET /planner/slots/{id}", "POST /logbook/entries/{id}",
+				}},
+			}},
+		},
+		Routes: []Route{
+			{"treatments", "healthdesk", "GET", "/treatments/{id}", true, config.PriorityCritical},
+			{"checks", "healthdesk", "GET", "/checks/{id}", true, config.PriorityNormal},
+			{"slots", "planner", "GET", "/slots/{id}", true, config.PriorityNormal},
+			{"bookings", "booker", "POST", "/bookings/{id}", false, config.PriorityHigh},
+			{"entries", "logbook", "GET", "/entries/{id}", true, config.PriorityNormal},
+			{"write-entry", "logbook", "POST", "/entries/{id}", false, config.PriorityHigh},
+			{"berths", "logbook", "GET", "/berths/{id}", true, config.PriorityLow},
+		},
+		Requests: []Request{
+			{Route: "treatments", Share: 0.15, Calls: 1},
+			{Route: "slots", Share: 0.45, Calls: 3},
+			{Route: "bookings", Share: 0.15, Calls: 5},
+			{Route: "berths", Share: 0.25, Calls: 1},
+		},
+		Customers: customers(8, 200),
+		Deep:      "healthdesk",
+		Deadline:  time.Second,
+		Allowance: 3,
+	}
+}
+
+// Alerts is a map and warning graph over three failure domains, scaled down
+// from the brief's first deployment.
+func Alerts() Deployment {
+	return Deployment{
+		Name:    "alerts",
+		Domains: []string{"evora-a", "evora-b", "beja-a"},
+		Services: []Service{
+			{Name: "tempestade", Instances: 3, Slots: 4, Queue: 40, Works: []standin.Work{
+				{Prefix: "/", Time: 15 * time.Millisecond},
+			}},
+			{Name: "historico", Instances: 3, Slots: 20, Queue: 120, Works: []standin.Work{
+				{Prefix: "/", Time: 8 * time.Millisecond},
+			}},
+			{Name: "mapas", Instances: 4, Slots: 16, Queue: 100, Works: []standin.Work{
+				{Prefix: "/strikes/", Time: 10 * time.Millisecond, Children: []string{
+					"GET /tempestade/cells/{id}", "GET /historico/past/{id}",
+				}},
+			}},
+			{Name: "avisos", Instances: 3, Slots: 20, Queue: 120, Works: []standin.Work{
+				{Prefix: "/warnings/", Time: 10 * time.Millisecond, Children: []string{"GET /tempestade/cells/{id}"}},
+				{Prefix: "/subscriptions/", Time: 10 * time.Millisecond, Children: []string{"POST /historico/journal/{id}"}},
+			}},
+		},
+		Routes: []Route{
+			{"cells", "tempestade", "GET", "/cells/{id}", true, config.PriorityNormal},
+			{"past", "historico", "GET", "/past/{id}", true, config.PriorityNormal},
+			{"journal", "historico", "POST", "/journal/{id}", false, config.PriorityHigh},
+			{"strikes", "mapas", "GET", "/strikes/{id}", true, config.PriorityNormal},
+			{"warnings", "avisos", "GET", "/warnings/{id}", true, config.PriorityCritical},
+			{"subscriptions", "avisos", "POST", "/subscriptions/{id}", false, config.PriorityHigh},
+		},
+		Requests: []Request{
+			{Route: "warnings", Share: 0.15, Calls: 2},
+			{Route: "strikes", Share: 0.70, Calls: 3},
+			{Route: "subscriptions", Share: 0.15, Calls: 2},
+		},
+		Customers: customers(8, 200),
+		Deep:      "tempestade",
+		Deadline:  time.Second,
+		Allowance: 3,
+	}
+}
+
+// customers returns n tenants, the first two of them large, with a total calm
+// demand in requests per second. Each may send four times its calm demand.
+func customers(n int, total float64) []Customer {
+	const (
+		largeWeight  = 4
+		largeCount   = 2
+		rateHeadroom = 4
+	)
+	weight := float64(largeCount*largeWeight + n - largeCount)
+	list := make([]Customer, n)
+	for i := range list {
+		w := 1.0
+		if i < largeCount {
+			w = largeWeight
+		}
+		demand := total * w / weight
+		list[i] = Customer{
+			Name:   fmt.Sprintf("customer-%d", i+1),
+			Demand: demand,
+			Rate:   demand * rateHeadroom,
+			Burst:  demand * rateHeadroom,
+		}
+	}
+	return list
+}
+
+// route returns a route by name.
+func (d *Deployment) route(name string) Route {
+	for _, r := range d.Routes {
+		if r.Name == name {
+			return r
+		}
+	}
+	panic("experiment: no route named " + name)
+}
+
+// file returns the operators' file.
+func (d *Deployment) file(keys []config.Key) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "failure_domains = [%q", d.Domains[0])
+	for _, name := range d.Domains[1:] {
+		fmt.Fprintf(&b, ", %q", name)
+	}
+	fmt.Fprintf(&b, "]\n\n[retry]\nallowance = %d\n", d.Allowance)
+	for _, c := range d.Customers {
+		fmt.Fprintf(&b, "\n[[customers]]\nname = %q\nrate = %f\nburst = %f\n", c.Name, c.Rate, c.Burst)
+	}
+	for _, k := range keys {
+		fmt.Fprintf(&b, "\n[[keys]]\nid = %q\ncustomer = %q\nsalt = %q\nhash = %q\n", k.ID, k.Customer, k.Salt, k.Hash)
+	}
+	for _, r := range d.Routes {
+		fmt.Fprintf(&b, "\n[[routes]]\nname = %q\nservice = %q\nmethod = %q\npath = %q\n", r.Name, r.Service, r.Method, r.Path)
+		fmt.Fprintf(&b, "idempotent = %t\npriority = %q\ndeadline = %q\nobjective = 0.99\n", r.Idempotent, r.Priority, d.Deadline)
+	}
+	return []byte(b.String())
+}
--- /dev/null
+++ b/experiment/run.go
@@ -0,0 +1,102 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"time"
+)
+
+// Options configure a comparison of the chains.
+type Options struct {
+	Deployment Deployment
+	// Seconds is the length of the load for each chain.
+	Seconds int
+	Seed    uint64
+	// Factor multiplies the demand and Slow the deep service's time during
+	// the surge.
+	Factor float64
+	Slow   float64
+	// Progress receives one line now and then; nil for none.
+	Progress io.Writer
+	Logger   *slog.Logger
+}
+
+// Comparison holds both chains' reports on the same arrivals.
+type Comparison struct {
+	Deployment string `json:"deployment"`
+	Seed       uint64 `json:"seed"`
+	Naive      Report `json:"naive"`
+	Full       Report `json:"gooseberryflow"`
+}
+
+// The surge of the stated target.
+const (
+	DefaultFactor = 3
+	DefaultSlow   = 5
+)
+
+// Phases returns calm, surge and recovery for a total length.
+func Phases(seconds int, factor, slow float64) []Phase {
+	total := time.Duration(seconds) * time.Second
+	calm := total / 5
+	surge := total * 2 / 5
+	return []Phase{
+		{Name: "calm", For: calm, Factor: 1, Slow: 1},
+		{Name: "surge", For: surge, Factor: factor, Slow: slow},
+		{Name: "recovery", For: total - calm - surge, Factor: 1, Slow: 1},
+	}
+}
+
+// Compare runs the naive chain and the full chain one after the other.
+func Compare(ctx context.Context, o Options) (Comparison, error) {
+	out := Comparison{Deployment: o.Deployment.Name, Seed: o.Seed}
+	var err error
+	if out.Naive, err = Measure(ctx, o, "naive", NaiveChain); err != nil {
+		return out, err
+	}
+	out.Full, err = Measure(ctx, o, "gooseberryflow", FullChain)
+	return out, err
+}
+
+// Measure runs one chain through all phases.
+func Measure(ctx context.Context, o Options, name string, chain []string) (Report, error) {
+	fleet, err := Start(ctx, o.Deployment, chain, o.Seed, o.Logger)
+	if err != nil {
+		return Report{}, fmt.Errorf("start the %s fleet: %w", name, err)
+	}
+	defer fleet.Stop()
+	phases := Phases(o.Seconds, o.Factor, o.Slow)
+	list := schedule(o.Deployment, phases, len(fleet.Workers), o.Seed)
+	started := time.Now()
+	conditions, stop := context.WithCancel(ctx)
+	defer stop()
+	go fleet.play(conditions, phases, started, o.Progress, name)
+	samples := newCallers(fleet).run(ctx, list, started)
+	if ctx.Err() != nil {
+		return Report{}, ctx.Err()
+	}
+	r := summarize(o.Deployment, phases, samples)
+	r.Chain = name
+	r.Duplicates = fleet.Duplicates()
+	return r, nil
+}
+
+// play sets the conditions of each phase at its time.
+func (f *Fleet) play(ctx context.Context, phases []Phase, started time.Time, progress io.Writer, name string) {
+	at := time.Duration(0)
+	for _, p := range phases {
+		if !sleep(ctx, time.Until(started.Add(at))) {
+			return
+		}
+		for _, w := range f.Of(f.Deployment.Deep) {
+			w.Upstream.SetSlow(p.Slow)
+		}
+		if progress != nil {
+			_, _ = fmt.Fprintf(progress, "%-15s %-9s %4.0f s: demand x%g, %s x%g slower\n",
+				name, p.Name, p.For.Seconds(), p.Factor, f.Deployment.Deep, p.Slow)
+		}
+		at += p.For
+	}
+}
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -167,7 +167,7 @@
 	if c.Customer != "" {
 		req.Header.Set(headerCustomer, c.Customer)
 	}
-	if c.IdempotencyKey != "" {
+	if !c.Idempotent && c.IdempotencyKey != "" {
 		req.Header.Set(headerIdempotency, c.IdempotencyKey)
 	}
 	return req, nil
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -33,3 +33,7 @@
 
 // Left returns what no nested call holds now.
 func (b *Budget) Left() int { return int(b.left.Load()) }
+
+// Close takes all that is left, when the lending call ends. A nested call that
+// returns its share later finds nobody to spend it.
+func (b *Budget) Close() int { return int(b.left.Swap(0)) }
