Thin whole path: front, node transport, hand-over, nested calls, in-process fleet

Cause: nothing could be measured or proved before a request went end to end. Ruled out: net/http's own repeat of requests towards the upstream (a body that can't be rewound switches it off), since it would run bookings twice. Change: a caller's request with a key enters one node, crosses to the owner node over mutual TLS, runs on its upstream, calls on through its own node with a call token and comes back whole.

--- /dev/null
+++ b/cmd/gooseberryflowd/main.go
@@ -0,0 +1,100 @@
+// Command gooseberryflowd is the node that runs beside one upstream instance.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/gooseberryflow/gooseberryflow/internal/version"
+	"github.com/gooseberryflow/gooseberryflow/node"
+	"github.com/gooseberryflow/gooseberryflow/peer"
+	"github.com/gooseberryflow/gooseberryflow/platform"
+	"github.com/gooseberryflow/gooseberryflow/settings"
+)
+
+// exitFailure is the exit code when the node could not start or did not stop
+// whole; wrong settings end with settings.ExitUsage.
+const exitFailure = 1
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// run is the command without the process around it; it returns the exit code.
+func run(args []string, stdout, stderr io.Writer) int {
+	s, err := settings.Parse(args, stdout)
+	if err != nil {
+		if code := settings.ExitCode(err); code != 0 {
+			_, _ = fmt.Fprintln(stderr, "gooseberryflowd:", err)
+			return code
+		}
+		return 0
+	}
+	if s.ShowVersion {
+		_, _ = fmt.Fprintln(stdout, "gooseberryflowd", version.Version)
+		return 0
+	}
+	if s.CheckOnly {
+		_, _ = fmt.Fprintln(stdout, "settings are valid")
+		return 0
+	}
+	logger := slog.New(slog.NewJSONHandler(stderr, &slog.HandlerOptions{Level: s.Node.LogLevel}))
+	logger.Info("settings read", "settings", s)
+	if err := serve(s, logger); err != nil {
+		logger.Error("node ended", "error", err)
+		return exitFailure
+	}
+	return 0
+}
+
+// serve runs nodes until a signal: a new one with a fresh incarnation whenever
+// the fleet has ended the running one. A second signal ends the process.
+func serve(s *settings.Settings, logger *slog.Logger) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	context.AfterFunc(ctx, stop)
+	for {
+		err := serveOnce(ctx, s, logger)
+		if !errors.Is(err, node.ErrEnded) || ctx.Err() != nil {
+			return err
+		}
+		logger.Warn("the incarnation was ended; starting a new one")
+	}
+}
+
+func serveOnce(ctx context.Context, s *settings.Settings, logger *slog.Logger) error {
+	log := platform.NewHTTPLog("http://"+s.Platform.Address.String(), s.Platform.Stream, &http.Client{})
+	n, err := node.New(nodeSettings(s), log, logger)
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
+
+func nodeSettings(s *settings.Settings) node.Settings {
+	first := make([]string, len(s.Peers.First))
+	for i, a := range s.Peers.First {
+		first[i] = a.String()
+	}
+	return node.Settings{
+		Service:        s.Node.Service,
+		FailureDomain:  s.Node.FailureDomain,
+		CallerAddr:     s.Node.CallerAddress.String(),
+		ControlAddr:    s.Node.ControlAddress.String(),
+		CallAddr:       s.Node.CallAddress.String(),
+		AdminAddr:      s.Node.AdminAddress.String(),
+		UpstreamAddr:   s.Node.UpstreamAddress.String(),
+		Identity:       peer.Identity{CA: s.TLS.CA, Certificate: s.TLS.Certificate, Key: s.TLS.Key},
+		Carrier:        peer.Carrier(s.Node.Transport),
+		Plugins:        s.Node.Plugins,
+		First:          first,
+		OperatorTokens: s.Operators.Tokens,
+		BodyLimitBytes: s.Node.BodyLimitBytes,
+		StopTimeout:    s.Node.StopTimeout,
+	}
+}
--- a/experiment/fleet.go
+++ b/experiment/fleet.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	identity := peer.Identity{CA: string(authority.CertPEM()), Certificate: string(cert), Key: string(key)}
+	identity := peer.Identity{CA: string(authority.CA()), Certificate: string(cert), Key: string(key)}
 	for _, s := range d.Services {
 		for i := range s.Instances {
 			domain := d.Domains[i%len(d.Domains)]
@@ -124,12 +124,12 @@
 func (f *Fleet) configure(ctx context.Context) error {
 	var keys []config.Key
 	for _, c := range f.Deployment.Customers {
-		k, text, err := config.NewKey(c.Name)
+		k, secret, err := config.NewKey(c.Name)
 		if err != nil {
 			return err
 		}
 		keys = append(keys, k)
-		f.Keys[c.Name] = text
+		f.Keys[c.Name] = config.KeyText(k.ID, secret)
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/gooseberryflow/gooseberryflow/config"
 	"github.com/gooseberryflow/gooseberryflow/kernel"
 	"github.com/gooseberryflow/gooseberryflow/membership"
 	"github.com/gooseberryflow/gooseberryflow/peer"
@@ -58,6 +59,8 @@
 	OperatorTokens []string
 	BodyLimitBytes int64
 	StopTimeout    time.Duration
+	// Intervals of the membership service; zero fields take the defaults.
+	Intervals membership.Intervals
 }
 
 // Node is one running node.
@@ -143,16 +146,22 @@
 
 // build makes the membership service, the host and the chains.
 func (n *Node) build(platformLog platform.Log) error {
-	n.membership = membership.New(membership.Options{
-		Self:    n.self,
-		Log:     platformLog,
-		Peers:   n.network,
-		First:   n.settings.First,
-		Now:     time.Now,
-		Rand:    rand.Uint64,
-		Logger:  n.log,
-		OnEnded: n.markEnded,
+	var err error
+	n.membership, err = membership.New(membership.Options{
+		Self:      n.self,
+		Log:       platformLog,
+		Peers:     n.network,
+		First:     n.settings.First,
+		Parse:     config.Parse,
+		Now:       time.Now,
+		Rand:      rand.Uint64,
+		Logger:    n.log,
+		Intervals: n.settings.Intervals,
+		OnEnded:   n.markEnded,
 	})
+	if err != nil {
+		return err
+	}
 	n.host = &kernel.Host{
 		Self:     n.self,
 		Now:      time.Now,
@@ -165,7 +174,6 @@
 		Go:       n.background.Go,
 	}
 	n.upstream = newUpstream(n.settings.UpstreamAddr, n.settings.BodyLimitBytes, n.host.Now, n.metrics)
-	var err error
 	if n.plugins, err = kernel.NewSet(n.host, n.settings.Plugins); err != nil {
 		return err
 	}
@@ -203,6 +211,15 @@
 // Snapshot returns the current state.
 func (n *Node) Snapshot() *state.Snapshot { return n.membership.Snapshot() }
 
+// Apply submits an operators' file based on the version in force.
+func (n *Node) Apply(ctx context.Context, file []byte) error {
+	r := n.membership.Submit(ctx, file, n.Snapshot().Version, uuid.NewString())
+	if r.Outcome != membership.SubmitAccepted {
+		return fmt.Errorf("configuration was not accepted: %s", r.Reason)
+	}
+	return nil
+}
+
 // Run serves until ctx ends, then stops as planned: new work is refused, every
 // call in flight finishes, state is handed over. It returns nil after a whole
 // stop, ErrEnded when the incarnation was ended, or what went wrong.
@@ -262,8 +279,8 @@
 	waitContext(limit, drainNotice)
 	n.stopping.Store(true)
 	left := n.awaitIdle(limit)
-	n.handOver()
 	err := n.callerHTTP.Shutdown(limit)
+	n.handOver()
 	n.Kill()
 	if left > 0 || err != nil {
 		return fmt.Errorf("stop limit passed with %d calls in flight: %w", left, context.DeadlineExceeded)
