--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"testing"
 	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/peer"
 )
 
 var thinChain = []string{"auth", "retry", "routing"}
@@ -13,7 +15,13 @@
 // upstream, nested calls through the owner node, and back.
 func TestWholePath(t *testing.T) {
 	d := Logistics()
-	fleet, err := Start(context.Background(), d, thinChain, 1, slog.New(slog.DiscardHandler))
+	fleet, err := Start(context.Background(), FleetOptions{
+		Deployment: d,
+		Chain:      thinChain,
+		Carrier:    peer.CarrierTLS,
+		Seed:       1,
+		Logger:     slog.New(slog.DiscardHandler),
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/experiment/fleet.go
+++ b/experiment/fleet.go
@@ -48,8 +48,19 @@
 	Keys map[string]string
 }
 
+// FleetOptions configure a fleet.
+type FleetOptions struct {
+	Deployment Deployment
+	// Chain names the plug-ins of every node.
+	Chain   []string
+	Carrier peer.Carrier
+	Seed    uint64
+	Logger  *slog.Logger
+}
+
 // Start brings up the log stand-in, all workers and the configuration.
-func Start(ctx context.Context, d Deployment, chain []string, seed uint64, logger *slog.Logger) (*Fleet, error) {
+func Start(ctx context.Context, o FleetOptions) (*Fleet, error) {
+	d := o.Deployment
 	f := &Fleet{Deployment: d, Log: logstandin.New(), Keys: make(map[string]string)}
 	authority, err := devcert.New()
 	if err != nil {
@@ -63,7 +74,7 @@
 	for _, s := range d.Services {
 		for i := range s.Instances {
 			domain := d.Domains[i%len(d.Domains)]
-			if err := f.addWorker(s, domain, identity, chain, seed, logger); err != nil {
+			if err := f.addWorker(o, s, domain, identity); err != nil {
 				f.Stop()
 				return nil, err
 			}
@@ -76,13 +87,13 @@
 	return f, nil
 }
 
-func (f *Fleet) addWorker(s Service, domain string, identity peer.Identity, chain []string, seed uint64, logger *slog.Logger) error {
+func (f *Fleet) addWorker(o FleetOptions, s Service, domain string, identity peer.Identity) error {
 	up, err := standin.Start(standin.Options{
 		Service: s.Name,
 		Slots:   s.Slots,
 		Queue:   s.Queue,
 		Works:   s.Works,
-		Seed:    seed + uint64(len(f.Workers)),
+		Seed:    o.Seed + uint64(len(f.Workers)),
 	})
 	if err != nil {
 		return fmt.Errorf("start upstream of %s: %w", s.Name, err)
@@ -96,10 +107,10 @@
 		AdminAddr:     "127.0.0.1:0",
 		UpstreamAddr:  up.Addr(),
 		Identity:      identity,
-		Carrier:       peer.CarrierTLS,
-		Plugins:       chain,
+		Carrier:       o.Carrier,
+		Plugins:       o.Chain,
 		First:         f.firstPeers(),
-	}, f.Log.Stream(logStream), logger)
+	}, f.Log.Stream(logStream), o.Logger)
 	if err != nil {
 		up.Close()
 		return fmt.Errorf("start node of %s: %w", s.Name, err)
--- /dev/null
+++ b/experiment/latency_test.go
@@ -0,0 +1,124 @@
+package experiment
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/gooseberryflow/gooseberryflow/config"
+	"github.com/gooseberryflow/gooseberryflow/internal/standin"
+	"github.com/gooseberryflow/gooseberryflow/peer"
+)
+
+const (
+	latencyRate   = 330 // calls per second
+	latencyRounds = 3
+	latencyCalls  = 1000 // per round and way
+	maxLatencyUS  = 10_000_000
+)
+
+// pairDeployment has one instance of each of two services, so that a call that
+// enters at the first service's node always crosses to the other node.
+func pairDeployment() Deployment {
+	return Deployment{
+		Name:    "pair",
+		Domains: []string{"a"},
+		Services: []Service{
+			{Name: "front", Instances: 1, Slots: 10, Queue: 10},
+			{Name: "echo", Instances: 1, Slots: 100, Queue: 100, Works: []standin.Work{{Prefix: "/"}}},
+		},
+		Routes:    []Route{{"echo", "echo", "GET", "/echo/{id}", true, config.PriorityNormal}},
+		Customers: []Customer{{Name: "customer-1", Demand: latencyRate, Rate: 1e5, Burst: 1e5}},
+		Deadline:  5 * time.Second,
+	}
+}
+
+// BenchmarkAddedLatency compares a direct call of the upstream with the way
+// through two nodes over each carrier, in interleaved rounds of one run.
+func BenchmarkAddedLatency(b *testing.B) {
+	carriers := []peer.Carrier{peer.CarrierTLS, peer.CarrierQUIC, peer.CarrierQUICStream}
+	fleets := make(map[peer.Carrier]*Fleet)
+	for _, carrier := range carriers {
+		fleet, err := Start(context.Background(), FleetOptions{
+			Deployment: pairDeployment(),
+			Chain:      thinChain,
+			Carrier:    carrier,
+			Logger:     slog.New(slog.DiscardHandler),
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer fleet.Stop()
+		fleets[carrier] = fleet
+	}
+	histograms := make(map[string]*hdrhistogram.Histogram)
+	record := func(name, url, key string) {
+		if histograms[name] == nil {
+			histograms[name] = hdrhistogram.New(1, maxLatencyUS, 3)
+		}
+		timeCalls(b, url, key, histograms[name])
+	}
+	for b.Loop() {
+		for range latencyRounds {
+			for _, carrier := range carriers {
+				fleet := fleets[carrier]
+				key := fleet.Keys["customer-1"]
+				record("direct", "http://"+fleet.Of("echo")[0].Upstream.Addr()+"/echo/1", key)
+				record(string(carrier), "http://"+fleet.Of("front")[0].Node.Member().CallerAddr+"/echo/echo/1", key)
+				record(string(carrier)+"-same-node", "http://"+fleet.Of("echo")[0].Node.Member().CallerAddr+"/echo/echo/1", key)
+			}
+		}
+	}
+	direct := histograms["direct"]
+	for name, h := range histograms {
+		b.ReportMetric(float64(h.ValueAtQuantile(50)-direct.ValueAtQuantile(50)), name+"-added-p50-us")
+		b.ReportMetric(float64(h.ValueAtQuantile(99)-direct.ValueAtQuantile(99)), name+"-added-p99-us")
+	}
+	b.ReportMetric(float64(direct.ValueAtQuantile(99)), "direct-p99-us")
+}
+
+// timeCalls sends calls at a fixed mean rate and records their times.
+func timeCalls(b *testing.B, url, key string, h *hdrhistogram.Histogram) {
+	b.Helper()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	rng := rand.New(rand.NewPCG(1, 1))
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for range latencyCalls {
+		time.Sleep(exponential(rng, latencyRate))
+		wg.Go(func() {
+			took, ok := timeCall(client, url, key)
+			mu.Lock()
+			defer mu.Unlock()
+			if !ok {
+				b.Errorf("a call of %s failed", url)
+				return
+			}
+			_ = h.RecordValue(took.Microseconds())
+		})
+	}
+	wg.Wait()
+}
+
+func timeCall(client *http.Client, url, key string) (time.Duration, bool) {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return 0, false
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	started := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return time.Since(started), err == nil && resp.StatusCode == http.StatusOK
+}
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -40,10 +40,12 @@
 	Name       string             `json:"name"`
 	Total      Goodput            `json:"total"`
 	ByPriority map[string]Goodput `json:"by_priority"`
+	// Completed counts the whole answers given while the phase lasted.
+	Completed int `json:"completed"`
 	// Capacity is the number of whole requests that the graph could have
-	// answered, limited by the deep service.
+	// answered in the phase, limited by the deep service.
 	Capacity float64 `json:"capacity"`
-	// OfCapacity is Total.Good over Capacity.
+	// OfCapacity is Completed over Capacity.
 	OfCapacity float64 `json:"of_capacity"`
 	// WorstCustomer is the lowest ratio of good to offered over customers.
 	WorstCustomer float64 `json:"worst_customer"`
@@ -72,8 +74,15 @@
 // summarize computes the report from the samples.
 func summarize(d Deployment, phases []Phase, samples []sample) Report {
 	var r Report
+	start := time.Duration(0)
 	for i, p := range phases {
-		r.Phases = append(r.Phases, phaseReport(d, p, of(samples, i)))
+		report := phaseReport(d, p, of(samples, i))
+		report.Completed = completed(samples, start, start+p.For)
+		if report.Capacity > 0 {
+			report.OfCapacity = float64(report.Completed) / report.Capacity
+		}
+		r.Phases = append(r.Phases, report)
+		start += p.For
 	}
 	for _, s := range samples {
 		r.Attempts += s.attempts
@@ -114,12 +123,21 @@
 		r.WorstCustomer = min(r.WorstCustomer, g.Ratio())
 	}
 	r.Capacity = capacity(d, p, samples)
-	if r.Capacity > 0 {
-		r.OfCapacity = float64(r.Total.Good) / r.Capacity
-	}
 	return r
 }
 
+// completed counts the whole answers given from one time to another.
+func completed(samples []sample, from, to time.Duration) int {
+	n := 0
+	for _, s := range samples {
+		end := s.at + s.took
+		if s.good && end >= from && end < to {
+			n++
+		}
+	}
+	return n
+}
+
 // recovery returns the seconds from the end of the surge (the phase before the
 // last) to the first window from which on every window of arrivals is good.
 func recovery(phases []Phase, samples []sample) float64 {
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -6,6 +6,8 @@
 	"io"
 	"log/slog"
 	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/peer"
 )
 
 // Options configure a comparison of the chains.
@@ -62,7 +64,13 @@
 
 // Measure runs one chain through all phases.
 func Measure(ctx context.Context, o Options, name string, chain []string) (Report, error) {
-	fleet, err := Start(ctx, o.Deployment, chain, o.Seed, o.Logger)
+	fleet, err := Start(ctx, FleetOptions{
+		Deployment: o.Deployment,
+		Chain:      chain,
+		Carrier:    peer.CarrierTLS,
+		Seed:       o.Seed,
+		Logger:     o.Logger,
+	})
 	if err != nil {
 		return Report{}, fmt.Errorf("start the %s fleet: %w", name, err)
 	}
