--- a/admin/backend.go
+++ b/admin/backend.go
@@ -44,8 +44,13 @@
 	Burn() report.Report
 }
 
-// ErrNotFound is returned by a Backend for a member that it does not know.
-var ErrNotFound = errors.New("not found")
+// Errors by which a Backend refuses a change.
+var (
+	// ErrNotFound refuses a change of a member that the node does not know.
+	ErrNotFound = errors.New("not found")
+	// ErrInvalid refuses a change that contradicts an earlier one.
+	ErrInvalid = errors.New("invalid")
+)
 
 // SubmitStatus is the outcome of a change of the configuration.
 type SubmitStatus string
--- a/admin/service.go
+++ b/admin/service.go
@@ -157,6 +157,8 @@
 		return nil
 	case errors.Is(err, ErrNotFound):
 		return api.MakeNotFound(err)
+	case errors.Is(err, ErrInvalid):
+		return api.MakeInvalid(err)
 	case mayHaveRun(err):
 		return api.MakeUnknownOutcome(err)
 	}
--- a/cmd/gooseberryctl/apply.go
+++ b/cmd/gooseberryctl/apply.go
@@ -113,13 +113,29 @@
 // submit sends the change until its outcome is known or ctx ends.
 func (a *app) submit(ctx context.Context, f *fleet, p *api.ApplyPayload) (*api.ChangeResult, error) {
 	result, err := a.send(ctx, f, p)
-	for outcomeUnknown(result, err) {
-		if !pause(ctx, readBackPause) {
-			return nil, unknownChange(result, err)
-		}
+	if !outcomeUnknown(result, err) {
+		return result, err
+	}
+	for pause(ctx, readBackPause) {
 		result, err = a.resolve(ctx, f, p)
+		if err == nil && final(result, p.BaseVersion) {
+			return result, nil
+		}
+	}
+	return nil, unknownChange(result, err)
+}
+
+// final reports whether a result settles a change that was sent before. A
+// rejection does if the change can't come into force any more, whatever
+// becomes of the earlier attempt.
+func final(r *api.ChangeResult, base uint64) bool {
+	switch r.Status {
+	case "accepted":
+		return true
+	case "rejected":
+		return r.Version != base || len(r.Faults) > 0
 	}
-	return result, err
+	return false
 }
 
 func (a *app) send(ctx context.Context, f *fleet, p *api.ApplyPayload) (*api.ChangeResult, error) {
@@ -128,19 +144,14 @@
 	})
 }
 
-// resolve settles an uncertain change: it reads the outcome back or else sends
-// the change again, which is idempotent in the change ID. Failing in both says
-// nothing about the earlier attempt.
+// resolve reads the outcome of a change back or else sends the change again,
+// which is idempotent in the change ID.
 func (a *app) resolve(ctx context.Context, f *fleet, p *api.ApplyPayload) (*api.ChangeResult, error) {
 	result, err := a.readBack(ctx, f, p.ChangeID)
-	if !outcomeUnknown(result, err) && err == nil {
+	if err == nil && final(result, p.BaseVersion) {
 		return result, nil
 	}
-	result, err = a.send(ctx, f, p)
-	if err != nil {
-		return nil, &exitError{exitUnknown, err}
-	}
-	return result, nil
+	return a.send(ctx, f, p)
 }
 
 func (a *app) readBack(ctx context.Context, f *fleet, changeID string) (*api.ChangeResult, error) {
--- a/cmd/gooseberryctl/backend_test.go
+++ b/cmd/gooseberryctl/backend_test.go
@@ -32,6 +32,10 @@
 	cutConnection fault = "cut-connection"
 	// winRace lets another operator's change come first.
 	winRace fault = "win-race"
+	// refuseLate answers the next change as unknown and the ones after it as
+	// rejected without a judgement.
+	refuseLate fault = "refuse-late"
+	refusing   fault = "refusing"
 	// outage makes every change and every reading back unknown.
 	outage fault = "outage"
 )
@@ -69,7 +73,11 @@
 // take returns the pending fault and ends it, unless it lasts.
 func (b *memoryBackend) take() fault {
 	f := b.next
-	if f != outage && f != readOnly {
+	switch f {
+	case outage, readOnly, refusing:
+	case refuseLate:
+		b.next = refusing
+	default:
 		b.next = ""
 	}
 	return f
@@ -96,7 +104,9 @@
 	defer b.mu.Unlock()
 	unknown := admin.SubmitResult{Status: admin.SubmitUnknown, Reason: "the log did not answer"}
 	switch f := b.take(); f {
-	case outage, dropChange:
+	case refusing:
+		return admin.SubmitResult{Status: admin.SubmitRejected, Version: b.snapshot.Version, Reason: "not written"}
+	case outage, dropChange, refuseLate:
 		return unknown
 	case winRace:
 		b.judge([]byte(`failure_domains = ["rival"]`), b.snapshot.Version, "rival-change")
--- a/cmd/gooseberryctl/version.go
+++ b/cmd/gooseberryctl/version.go
@@ -4,14 +4,15 @@
 	"context"
 	"fmt"
 	"runtime"
-	"runtime/debug"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/gooseberryflow/gooseberryflow/internal/version"
 )
 
 func (a *app) versionCommand() *ffcli.Command {
 	c := a.command("version", "gooseberryctl version", "print the tool's version", "")
-	c.Exec = a.exec(nil, func(context.Context, []string) error { return a.version() })
+	c.Exec = a.exec(nil, func(context.Context, []string) error { return a.showVersion() })
 	return c
 }
 
@@ -20,11 +21,8 @@
 	Go      string `json:"go"`
 }
 
-func (a *app) version() error {
-	out := versionOutput{Version: "unknown", Go: runtime.Version()}
-	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
-		out.Version = info.Main.Version
-	}
+func (a *app) showVersion() error {
+	out := versionOutput{Version: version.Version, Go: runtime.Version()}
 	if a.json {
 		return a.writeJSON(out)
 	}
