--- a/membership/submit.go
+++ b/membership/submit.go
@@ -125,3 +125,16 @@
 	}
 	return rejected(d.Reason)
 }
+
+// Outcome reads the log up to its head and returns the judgement on a change;
+// SubmitUnknown if the log holds none or can't be read.
+func (s *Service) Outcome(ctx context.Context, changeID string) SubmitResult {
+	if err := s.poll(ctx); err != nil {
+		return unknown(fmt.Errorf("log can't be read: %w", err))
+	}
+	d, ok := s.decision(changeID)
+	if !ok {
+		return unknown(errors.New("the log holds no such change"))
+	}
+	return decided(d)
+}
--- a/node/admin.go
+++ b/node/admin.go
@@ -1,13 +1,18 @@
 package node
 
-import "net/http"
+import (
+	"net/http"
 
-// adminHandler serves health, readiness and metrics.
+	"github.com/gooseberryflow/gooseberryflow/admin"
+)
+
+// adminHandler serves the admin API, health, readiness and metrics.
 func (n *Node) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", n.healthy)
 	mux.HandleFunc("GET /readyz", n.ready)
 	mux.HandleFunc("GET /debug/vars", n.serveMetrics)
+	mux.Handle("/", admin.NewHandler(backend{n}, n.settings.OperatorTokens, n.log))
 	return mux
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/gooseberryflow/gooseberryflow/membership"
 	"github.com/gooseberryflow/gooseberryflow/peer"
 	"github.com/gooseberryflow/gooseberryflow/platform"
+	"github.com/gooseberryflow/gooseberryflow/report"
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
@@ -75,6 +76,7 @@
 	membership *membership.Service
 	upstream   *upstream
 	metrics    *metrics
+	recorder   *report.Recorder
 	log        *slog.Logger
 
 	callers     net.Listener
@@ -100,6 +102,7 @@
 	n := &Node{
 		settings: s,
 		metrics:  newMetrics(),
+		recorder: report.NewRecorder(),
 		log:      logger,
 		ended:    make(chan struct{}),
 	}
@@ -362,6 +365,13 @@
 	})
 }
 
-func (n *Node) observe(_ *kernel.Call, r *kernel.Result, _ time.Duration) {
+// observe feeds the counters. Only root requests count for the service-level
+// report: an error budget is spent once, however deep the failure lies.
+func (n *Node) observe(c *kernel.Call, r *kernel.Result, took time.Duration) {
 	n.metrics.count(r)
+	if c.Nested() || r.Reason == kernel.ReasonCancelled {
+		return
+	}
+	ok := r.Outcome == kernel.OutcomeAnswered && r.Status < http.StatusInternalServerError
+	n.recorder.Observe(c.Customer, c.RouteName, ok, took, n.host.Now())
 }
