--- /dev/null
+++ b/integration/faults_test.go
@@ -0,0 +1,5 @@
+package integration
+
+import logstandin "github.com/gooseberryflow/gooseberryflow/platform/standin"
+
+func logFaults(down bool) logstandin.Faults { return logstandin.Faults{Down: down} }
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -48,18 +49,22 @@
 	Service       string
 	FailureDomain string
 	// Addresses are IP:port; port 0 lets the kernel choose.
-	CallerAddr     string
-	ControlAddr    string
-	CallAddr       string
-	AdminAddr      string
-	UpstreamAddr   string
-	Identity       peer.Identity
-	Carrier        peer.Carrier
-	Plugins        []string
-	First          []string
-	OperatorTokens []string
-	BodyLimitBytes int64
-	StopTimeout    time.Duration
+	CallerAddr  string
+	ControlAddr string
+	CallAddr    string
+	AdminAddr   string
+	// Announced addresses are what other nodes connect to; empty ones are the
+	// bound ones.
+	AnnouncedControlAddr string
+	AnnouncedCallAddr    string
+	UpstreamAddr         string
+	Identity             peer.Identity
+	Carrier              peer.Carrier
+	Plugins              []string
+	First                []string
+	OperatorTokens       []string
+	BodyLimitBytes       int64
+	StopTimeout          time.Duration
 	// Intervals of the membership service; zero fields take the defaults.
 	Intervals membership.Intervals
 }
@@ -141,8 +146,8 @@
 	if n.admin, err = net.Listen("tcp", s.AdminAddr); err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
-	n.self.ControlAddr = n.network.ControlAddr()
-	n.self.CallAddr = n.network.CallAddr()
+	n.self.ControlAddr = cmp.Or(s.AnnouncedControlAddr, n.network.ControlAddr())
+	n.self.CallAddr = cmp.Or(s.AnnouncedCallAddr, n.network.CallAddr())
 	n.self.CallerAddr = n.callers.Addr().String()
 	return nil
 }
--- a/settings/node.go
+++ b/settings/node.go
@@ -26,6 +26,8 @@
 		Transport:       readTransport(t),
 		Plugins:         readPlugins(t),
 	}
+	n.AnnouncedControlAddress = readOptionalAddress(t, "announced_control_address", n.ControlAddress)
+	n.AnnouncedCallAddress = readOptionalAddress(t, "announced_call_address", n.CallAddress)
 	checkDistinct(t, map[string]netip.AddrPort{
 		"caller_address":   n.CallerAddress,
 		"call_address":     n.CallAddress,
@@ -43,6 +45,19 @@
 	return name
 }
 
+// readOptionalAddress returns def when the key is absent.
+func readOptionalAddress(t *tomlfile.Table, key string, def netip.AddrPort) netip.AddrPort {
+	text := t.String(key)
+	if text == "" || !t.Valid(key) {
+		return def
+	}
+	address, reason := parseAddress(text)
+	if reason != "" {
+		t.Reportf(key, "%s", reason)
+	}
+	return address
+}
+
 func readAddress(t *tomlfile.Table, key string) netip.AddrPort {
 	t.Require(key)
 	text := t.String(key)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -38,6 +38,10 @@
 	CallAddress netip.AddrPort
 	// AdminAddress is where operators connect (TCP, HTTP).
 	AdminAddress netip.AddrPort
+	// AnnouncedControlAddress and AnnouncedCallAddress are what other nodes
+	// connect to, where that differs from what this node binds.
+	AnnouncedControlAddress netip.AddrPort
+	AnnouncedCallAddress    netip.AddrPort
 	// UpstreamAddress is the upstream instance's own address (TCP, HTTP).
 	UpstreamAddress netip.AddrPort
 	LogLevel        slog.Level
