Admission: adaptive limit, fair queue and early shedding

Cause: without a limit at the instance a surge fills queues inside the upstream, and all of its calls are late at once.

Change: owner part with limit, queue by priority, nested calls and start-time fair queueing, deadline check and per-customer thresholds; entry part with learned thresholds that open by themselves. Own time excludes nested calls.

--- /dev/null
+++ b/admission/entry.go
@@ -0,0 +1,55 @@
+package admission
+
+import (
+	"context"
+
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+)
+
+// WrapEntry sheds new trees early and learns thresholds from answers.
+func (p *Plugin) WrapEntry(next kernel.Handler) kernel.Handler {
+	return kernel.HandlerFunc(func(ctx context.Context, c *kernel.Call) *kernel.Result {
+		if c.Nested() {
+			return p.serveNested(ctx, c, next)
+		}
+		if r := p.shed(c); r != nil {
+			return r
+		}
+		r := next.Serve(ctx, c)
+		p.learn(&p.entry, c.RouteName, c, r)
+		return r
+	})
+}
+
+func (p *Plugin) shed(c *kernel.Call) *kernel.Result {
+	key := routeKey{c.RouteName, c.Customer}
+	now := p.host.Now()
+	rank := Rank(c.Priority, c.Root)
+	if admits(p.entry.threshold(key, now), rank) {
+		return nil
+	}
+	after := max(p.entry.opens(key, rank, now), retryAfterMin)
+	return kernel.Refuse(kernel.ReasonOverload, c.Service+" is shedding load", jitter(after, p.host.Rand()))
+}
+
+func (p *Plugin) serveNested(ctx context.Context, c *kernel.Call, next kernel.Handler) *kernel.Result {
+	parent, ok := p.trees.nestedBegin(c.Root, p.host.Now())
+	r := next.Serve(ctx, c)
+	if ok {
+		p.trees.nestedEnd(c.Root, p.host.Now())
+		p.learn(&p.below, parent, c, r)
+	}
+	return r
+}
+
+func (p *Plugin) learn(table *learnedThresholds, route string, c *kernel.Call, r *kernel.Result) {
+	if r.Load == nil {
+		return
+	}
+	table.learn(routeKey{route, c.Customer}, report{
+		service:   c.Service,
+		owner:     r.Owner,
+		threshold: r.Load.Threshold,
+		at:        p.host.Now(),
+	})
+}
--- /dev/null
+++ b/admission/plugin_test.go
@@ -0,0 +1,249 @@
+package admission
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/config"
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+func newPlugin(t testing.TB) *Plugin {
+	snapshot := (&state.Snapshot{}).Index()
+	p := &Plugin{}
+	err := p.Provision(&kernel.Host{
+		Now:      time.Now,
+		Rand:     func() uint64 { return 7 },
+		Snapshot: func() *state.Snapshot { return snapshot },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func rootCall(n byte) *kernel.Call {
+	id := kernel.CallID{n, 15: n}
+	return &kernel.Call{ID: id, Root: id, Customer: "a", Service: "s", RouteName: "r", Priority: config.PriorityNormal}
+}
+
+func TestCancelledCallLeavesQueueAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlugin(t)
+		release := make(chan struct{})
+		owner := p.WrapOwner(kernel.HandlerFunc(func(context.Context, *kernel.Call) *kernel.Result {
+			<-release
+			return &kernel.Result{Outcome: kernel.OutcomeAnswered, Status: 200}
+		}))
+		for n := range byte(initialLimit - 1) { // one is reserved for the top priority
+			go owner.Serve(t.Context(), rootCall(n))
+		}
+		synctest.Wait()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan *kernel.Result)
+		go func() { done <- owner.Serve(ctx, rootCall(9)) }()
+		synctest.Wait()
+		before := time.Now()
+		cancel()
+		r := <-done
+		if r.Outcome != kernel.OutcomeNotRun || r.Reason != kernel.ReasonCancelled || time.Since(before) != 0 {
+			t.Errorf("cancelled call: %v %q after %v", r.Outcome, r.Reason, time.Since(before))
+		}
+		if r.Load == nil || r.Load.Queued != 0 {
+			t.Errorf("load after the cancellation: %+v", r.Load)
+		}
+		close(release)
+		synctest.Wait()
+	})
+}
+
+func TestWaitingCallRefusedWhenTimeIsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlugin(t)
+		release := make(chan struct{})
+		owner := p.WrapOwner(kernel.HandlerFunc(func(context.Context, *kernel.Call) *kernel.Result {
+			<-release
+			return &kernel.Result{Outcome: kernel.OutcomeAnswered, Status: 200}
+		}))
+		for n := range byte(initialLimit - 1) { // one is reserved for the top priority
+			go owner.Serve(t.Context(), rootCall(n))
+		}
+		synctest.Wait()
+		before := time.Now()
+		r := owner.Serve(t.Context(), rootCall(9))
+		if r.Outcome != kernel.OutcomeNotRun || r.Reason != kernel.ReasonOverload || r.RetryAfter <= 0 {
+			t.Errorf("overdue call: %v %q, retry after %v", r.Outcome, r.Reason, r.RetryAfter)
+		}
+		if waited := time.Since(before); waited > waitMax {
+			t.Errorf("waited %v", waited)
+		}
+		close(release)
+		synctest.Wait()
+	})
+}
+
+// A call that waits for a nested one doesn't count that time as its own.
+func TestOwnTimeExcludesNestedCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlugin(t)
+		nested := p.WrapEntry(kernel.HandlerFunc(func(context.Context, *kernel.Call) *kernel.Result {
+			time.Sleep(90 * time.Millisecond)
+			return &kernel.Result{Outcome: kernel.OutcomeAnswered, Status: 200}
+		}))
+		owner := p.WrapOwner(kernel.HandlerFunc(func(ctx context.Context, c *kernel.Call) *kernel.Result {
+			time.Sleep(10 * time.Millisecond)
+			below := *c
+			below.Depth, below.RouteName = 1, "below"
+			nested.Serve(ctx, &below)
+			return &kernel.Result{Outcome: kernel.OutcomeAnswered, Status: 200}
+		}))
+		owner.Serve(t.Context(), rootCall(1))
+		r := p.gate.limiter.routes["r"]
+		if own := time.Duration(r.sum * float64(time.Second)).Round(time.Millisecond); own != 10*time.Millisecond {
+			t.Errorf("own time %v, want 10ms", own)
+		}
+	})
+}
+
+// loadedAnswer is an owner's answer with a threshold in the middle of the
+// normal priority.
+func loadedAnswer(owner state.MemberID, threshold uint32) kernel.HandlerFunc {
+	return func(context.Context, *kernel.Call) *kernel.Result {
+		return &kernel.Result{
+			Outcome: kernel.OutcomeAnswered, Status: 200, Owner: owner,
+			Load: &kernel.Load{Threshold: threshold},
+		}
+	}
+}
+
+const middleOfNormal = uint32(config.PriorityNormal)<<priorityShift | 1<<(priorityShift-1)
+
+func TestEntryShedsTheSameNewTreesEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second := newPlugin(t), newPlugin(t)
+		chains := []kernel.Handler{
+			first.WrapEntry(loadedAnswer("x", middleOfNormal)),
+			second.WrapEntry(loadedAnswer("x", middleOfNormal)),
+		}
+		for _, chain := range chains {
+			chain.Serve(t.Context(), withPriority(0, config.PriorityCritical))
+		}
+		shed := 0
+		for n := range byte(200) {
+			a := chains[0].Serve(t.Context(), rootCall(n))
+			b := chains[1].Serve(t.Context(), rootCall(n))
+			if a.Outcome != b.Outcome {
+				t.Fatalf("tree %d: %v at one node, %v at the other", n, a.Outcome, b.Outcome)
+			}
+			if a.Outcome == kernel.OutcomeNotRun {
+				shed++
+			}
+			nested := rootCall(n)
+			nested.Depth = 1
+			if chains[0].Serve(t.Context(), nested).Outcome == kernel.OutcomeNotRun {
+				t.Fatalf("tree %d: nested call shed", n)
+			}
+			if chains[0].Serve(t.Context(), withPriority(n, config.PriorityCritical)).Outcome == kernel.OutcomeNotRun {
+				t.Fatalf("tree %d: top priority shed", n)
+			}
+		}
+		if shed < 50 || shed > 150 {
+			t.Errorf("%d of 200 trees shed at half of the priority's band", shed)
+		}
+	})
+}
+
+func withPriority(n byte, p config.Priority) *kernel.Call {
+	c := rootCall(n)
+	c.Priority = p
+	return c
+}
+
+func TestThresholdDecaysAndFreeOwnerReopens(t *testing.T) {
+	now := modelStart
+	key := routeKey{"r", "a"}
+	var l learnedThresholds
+	l.learn(key, report{"s", "x", middleOfNormal, now})
+	if got := l.threshold(key, now.Add(thresholdHold)); got != middleOfNormal {
+		t.Fatalf("threshold %x, want %x", got, middleOfNormal)
+	}
+	if got := l.threshold(key, now.Add(thresholdOpen)); got != MaxThreshold {
+		t.Fatalf("threshold %x after its time", got)
+	}
+	rank := middleOfNormal + 1<<28
+	opens := now.Add(l.opens(key, rank, now) + time.Millisecond)
+	if got := l.threshold(key, opens); !admits(got, rank) {
+		t.Fatalf("rank %x still shed at %x when said to be open", rank, got)
+	}
+	l.learn(key, report{"s", "y", MaxThreshold, now})
+	if got := l.threshold(key, now); got != MaxThreshold {
+		t.Fatalf("threshold %x although an owner is free", got)
+	}
+	l.learn(key, report{"t", "z", middleOfNormal, now})
+	if got := l.threshold(key, now); got != middleOfNormal {
+		t.Fatalf("threshold %x although a second service sheds", got)
+	}
+}
+
+// A threshold that goes round a cycle of services opens within seconds.
+func TestRelayedThresholdDoesNotLatch(t *testing.T) {
+	threshold, laps := middleOfNormal, 0
+	for threshold < MaxThreshold-bucketWidth {
+		threshold = relayed(threshold)
+		laps++
+		if laps > 10*relayLoss {
+			t.Fatal("still shedding")
+		}
+	}
+}
+
+// The owner's threshold goes down under overload, stays out of the top
+// priority's band, and is open again within five seconds of the end.
+func TestOwnerThresholdFollowsOverload(t *testing.T) {
+	for _, seed := range seeds {
+		m := newInstance(seed, 10, 20*time.Millisecond)
+		normal := func() *Request { return m.call("a", config.PriorityNormal) }
+		m.arrivals(1500, 10*time.Second, normal)
+		m.arrivals(400, 20*time.Second, normal)
+		m.run(10 * time.Second)
+		if got := m.gate.Load("a").Threshold; got == MaxThreshold || got < criticalEnd {
+			t.Errorf("seed %d: threshold %x under overload", seed, got)
+		}
+		if got := m.gate.Load("b").Threshold; got != MaxThreshold {
+			t.Errorf("seed %d: threshold %x for a customer without calls", seed, got)
+		}
+		m.run(15 * time.Second)
+		if got := m.gate.Load("a").Threshold; got != MaxThreshold {
+			t.Errorf("seed %d: threshold %x five seconds after the overload", seed, got)
+		}
+	}
+}
+
+func BenchmarkOwnerAdmit(b *testing.B) {
+	p := newPlugin(b)
+	owner := p.WrapOwner(kernel.HandlerFunc(func(context.Context, *kernel.Call) *kernel.Result {
+		return &kernel.Result{Outcome: kernel.OutcomeAnswered, Status: 200}
+	}))
+	c := rootCall(1)
+	ctx := context.Background()
+	b.ReportAllocs()
+	for b.Loop() {
+		owner.Serve(ctx, c)
+	}
+}
+
+func BenchmarkEntryShed(b *testing.B) {
+	p := newPlugin(b)
+	c := rootCall(1)
+	now := time.Now()
+	for _, owner := range []state.MemberID{"x", "y", "z"} {
+		p.entry.learn(routeKey{"r", "a"}, report{"s", owner, middleOfNormal, now.Add(time.Hour)})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		p.shed(c)
+	}
+}
