Retry: bound of the whole tree tested; unused allowance of early refusals

Cause: the bound on a tree's attempts was claimed but not tested, and a call refused before it came to retry (rate, claims) gave none of its share back.

Ruled out: one bound for all faults. An idempotent call that is lost after it ran its nested calls runs them again when retried, so calls plus allowance holds for refusals only; for losses the retries keep to the allowance and the attempts to calls times (1 + allowance). Both are tested.

Change: retry.Unused tells what a call has not spent; property tests over 200 seeded trees of depth 7 with random refusals, unknown outcomes and losses.

--- a/retry/decide.go
+++ b/retry/decide.go
@@ -18,14 +18,23 @@
 	return 0
 }
 
+// Unused returns what is left of an allowance that was lent to a call with
+// the given result. A call that has not reached an owner has spent nothing,
+// also when it was refused before it came to this plug-in.
+func Unused(lent int, r *kernel.Result) int {
+	if r.Outcome == kernel.OutcomeNotRun && r.Owner == "" {
+		return lent
+	}
+	return min(max(r.UnusedAllowance, 0), lent)
+}
+
 // left returns the allowance after an attempt that was lent some units while
 // keep units stayed here.
 func left(r *kernel.Result, lent, keep int) int {
 	if r.Outcome == kernel.OutcomeNotRun {
 		return keep + lent
 	}
-	returned := min(max(r.UnusedAllowance, 0), lent)
-	return keep + returned
+	return keep + Unused(lent, r)
 }
 
 // retryable tells whether the failure is one that another owner may not have.
--- a/retry/doc.go
+++ b/retry/doc.go
@@ -27,6 +27,12 @@
 // returned. There is no delay between attempts, since each meets a fresh
 // owner.
 //
+// Bound: a tree whose failed attempts were all refused makes at most as many
+// attempts as it has calls plus its allowance. An attempt with an unknown
+// outcome may have run its nested calls, and its retry runs them again, so
+// with such failures the retries keep to the allowance and the attempts to the
+// number of calls times one more than the allowance.
+//
 // Limits: an upstream that repeats nested calls itself is bounded only by the
 // admission of each call, not by the allowance.
 package retry
--- /dev/null
+++ b/retry/tree_test.go
@@ -0,0 +1,300 @@
+package retry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/routing"
+)
+
+const treeDepth = 7
+
+// spec is a call and the nested calls that its upstream makes.
+type spec struct {
+	idempotent bool
+	parallel   bool
+	nested     []*spec
+}
+
+func randomTree(rng *rand.Rand, depth int) *spec {
+	s := &spec{idempotent: rng.IntN(2) == 0, parallel: rng.IntN(2) == 0}
+	if depth == treeDepth {
+		return s
+	}
+	for range 1 + rng.IntN(2) {
+		s.nested = append(s.nested, randomTree(rng, depth+1))
+	}
+	return s
+}
+
+func (s *spec) size() int {
+	n := 1
+	for _, c := range s.nested {
+		n += c.size()
+	}
+	return n
+}
+
+// faults are the probabilities of the ways in which an attempt can fail.
+type faults struct {
+	notRun  float64
+	unknown float64 // after the nested calls
+	lost    float64 // after the nested calls, with all that was lent
+}
+
+// fleet runs a tree through retry loops that share nothing but the calls.
+type fleet struct {
+	mu       sync.Mutex
+	rng      *rand.Rand
+	faults   faults
+	attempts int
+	repeats  int
+	now      time.Time
+	wrap     func(next kernel.Handler) kernel.Handler
+}
+
+func newFleet(seed uint64, f faults) *fleet {
+	fl := &fleet{rng: rand.New(rand.NewPCG(seed, 2)), faults: f, now: time.Unix(1_700_000_000, 0)}
+	p := &Plugin{ratio: newRatio(fl.now)}
+	p.ratio.milli.Store(1 << 40) // the ratio has its own test
+	p.host = &kernel.Host{Now: func() time.Time { return fl.now }, Rand: fl.rand}
+	fl.wrap = p.WrapEntry
+	return fl
+}
+
+func (f *fleet) rand() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.Uint64()
+}
+
+func (f *fleet) hits(probability float64) bool {
+	return float64(f.rand()>>11)/(1<<53) < probability
+}
+
+func (f *fleet) call(s *spec, depth, allowance int) *kernel.Result {
+	c := &kernel.Call{Idempotent: s.idempotent, Depth: depth, Allowance: allowance}
+	first := true
+	h := f.wrap(kernel.HandlerFunc(func(_ context.Context, c *kernel.Call) *kernel.Result {
+		f.mu.Lock()
+		f.attempts++
+		if !first {
+			f.repeats++
+		}
+		f.mu.Unlock()
+		first = false
+		return f.owner(s, c)
+	}))
+	return h.Serve(context.Background(), c)
+}
+
+// owner stands for the owner node and its upstream.
+func (f *fleet) owner(s *spec, c *kernel.Call) *kernel.Result {
+	if f.hits(f.faults.notRun) {
+		r := kernel.Refuse(kernel.ReasonOverload, "", 0)
+		r.Owner = "x"
+		return r
+	}
+	budget := NewBudget(c.Allowance)
+	ok := f.runNested(s, c, budget)
+	r := &kernel.Result{Outcome: kernel.OutcomeAnswered, Status: http.StatusOK}
+	switch {
+	case f.hits(f.faults.lost):
+		return &kernel.Result{Outcome: kernel.OutcomeUnknown, Lost: true, Owner: "x"}
+	case f.hits(f.faults.unknown):
+		r = kernel.Unknown(kernel.ReasonUpstream, "")
+	case !ok:
+		r.Status = http.StatusBadGateway
+	}
+	r.Owner = "x"
+	r.UnusedAllowance = budget.Left()
+	return r
+}
+
+func (f *fleet) runNested(s *spec, c *kernel.Call, budget *Budget) bool {
+	results := make([]bool, len(s.nested))
+	run := func(i int) {
+		share := budget.Take()
+		r := f.call(s.nested[i], c.Depth+1, share)
+		budget.Return(Unused(share, r))
+		results[i] = r.Outcome == kernel.OutcomeAnswered && r.Status < http.StatusInternalServerError
+	}
+	var wg sync.WaitGroup
+	for i := range s.nested {
+		if s.parallel {
+			wg.Go(func() { run(i) })
+			continue
+		}
+		run(i)
+	}
+	wg.Wait()
+	for _, ok := range results {
+		if !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// Refused attempts run nothing, so the attempts of a tree are at most its
+// calls and its allowance.
+func TestTreeOfRefusalsIsBounded(t *testing.T) {
+	for seed := range uint64(200) {
+		f := newFleet(seed, faults{notRun: 0.5})
+		tree := randomTree(f.rng, 1)
+		allowance := f.rng.IntN(8)
+		r := f.call(tree, 0, allowance)
+		if limit := tree.size() + allowance; f.attempts > limit {
+			t.Fatalf("seed %d: %d attempts for %d calls and an allowance of %d", seed, f.attempts, tree.size(), allowance)
+		}
+		if f.repeats+r.UnusedAllowance > allowance {
+			t.Fatalf("seed %d: %d retries made and %d left of %d", seed, f.repeats, r.UnusedAllowance, allowance)
+		}
+	}
+}
+
+// Attempts with an unknown outcome may have run their nested calls, and the
+// next attempt runs them again; the retries themselves keep to the allowance.
+func TestTreeOfLossesIsBounded(t *testing.T) {
+	for seed := range uint64(200) {
+		f := newFleet(seed, faults{notRun: 0.2, unknown: 0.2, lost: 0.2})
+		tree := randomTree(f.rng, 1)
+		allowance := f.rng.IntN(8)
+		r := f.call(tree, 0, allowance)
+		if f.repeats+r.UnusedAllowance > allowance {
+			t.Fatalf("seed %d: %d retries made and %d left of %d", seed, f.repeats, r.UnusedAllowance, allowance)
+		}
+		if limit := tree.size() * (1 + allowance); f.attempts > limit {
+			t.Fatalf("seed %d: %d attempts for %d calls and an allowance of %d", seed, f.attempts, tree.size(), allowance)
+		}
+	}
+}
+
+// The baseline breaks the bound that the tests above hold, so they can fail.
+func TestNaiveTreeIsNotBounded(t *testing.T) {
+	f := newFleet(1, faults{notRun: 0.5})
+	f.wrap = (&Naive{}).WrapEntry
+	tree := randomTree(f.rng, 1)
+	f.call(tree, 0, 3)
+	if f.attempts <= tree.size()+3 {
+		t.Fatalf("%d attempts for %d calls", f.attempts, tree.size())
+	}
+	t.Logf("naive: %d attempts for %d calls", f.attempts, tree.size())
+}
+
+func TestBudgetIsConserved(t *testing.T) {
+	for n := range 20 {
+		b := NewBudget(n)
+		lent := 0
+		for range 10 {
+			lent += b.Take()
+		}
+		if lent+b.Left() != n {
+			t.Fatalf("budget of %d: lent %d, left %d", n, lent, b.Left())
+		}
+	}
+}
+
+func TestUnusedAllowance(t *testing.T) {
+	early := kernel.Refuse(kernel.ReasonOverload, "", 0)
+	if got := Unused(3, early); got != 3 {
+		t.Errorf("refused before any owner: %d unused, want 3", got)
+	}
+	late := kernel.Refuse(kernel.ReasonOverload, "", 0)
+	late.Owner, late.UnusedAllowance = "x", 1
+	if got := Unused(3, late); got != 1 {
+		t.Errorf("refused by an owner after two retries: %d unused, want 1", got)
+	}
+	late.UnusedAllowance = 9
+	if got := Unused(3, late); got != 3 {
+		t.Errorf("%d unused of 3", got)
+	}
+}
+
+func TestWhatIsRetried(t *testing.T) {
+	refuse := func(r kernel.Reason) *kernel.Result { return kernel.Refuse(r, "", 0) }
+	cases := []struct {
+		name       string
+		idempotent bool
+		result     *kernel.Result
+		want       bool
+	}{
+		{"overload", false, refuse(kernel.ReasonOverload), true},
+		{"draining", false, refuse(kernel.ReasonDraining), true},
+		{"no connection", false, refuse(kernel.ReasonNoUpstream), true},
+		{"rate", true, refuse(kernel.ReasonRate), false},
+		{"quarantine", true, refuse(kernel.ReasonQuarantine), false},
+		{"deadline", true, refuse(kernel.ReasonDeadline), false},
+		{"unknown", false, kernel.Unknown(kernel.ReasonUpstream, ""), false},
+		{"unknown, idempotent", true, kernel.Unknown(kernel.ReasonUpstream, ""), true},
+		{"answered with an error", true, &kernel.Result{Outcome: kernel.OutcomeAnswered, Status: 503}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := retryable(&kernel.Call{Idempotent: c.idempotent}, c.result); got != c.want {
+				t.Errorf("retryable %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestNoRetryAfterDeadlineOrCancellation(t *testing.T) {
+	f := newFleet(1, faults{notRun: 1})
+	deadline := f.now.Add(time.Second)
+	tries := 0
+	h := f.wrap(kernel.HandlerFunc(func(context.Context, *kernel.Call) *kernel.Result {
+		tries++
+		f.now = deadline
+		r := kernel.Refuse(kernel.ReasonOverload, "", 0)
+		r.Owner = "x"
+		return r
+	}))
+	h.Serve(context.Background(), &kernel.Call{Allowance: 3, DeadlineMS: deadline.UnixMilli()})
+	if tries != 1 {
+		t.Errorf("%d attempts although the deadline had passed", tries)
+	}
+	tries = 0
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	h.Serve(ctx, &kernel.Call{Allowance: 3})
+	if tries != 1 {
+		t.Errorf("%d attempts although the caller had left", tries)
+	}
+}
+
+func TestRatioOfOneNode(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	r := newRatio(now)
+	retries := 0
+	for range 1000 {
+		r.first()
+		if r.spend() {
+			retries++
+		}
+	}
+	most := 1000*depositMilli/retryCostMilli + ratioBurstMilli/retryCostMilli
+	if retries > most {
+		t.Fatalf("%d retries for 1000 first attempts, want at most %d", retries, most)
+	}
+	r.tick(now.Add(2 * time.Second))
+	if !r.spend() {
+		t.Fatal("no retry after two seconds without traffic")
+	}
+}
+
+func BenchmarkServe(b *testing.B) {
+	f := newFleet(1, faults{})
+	answer := &kernel.Result{Outcome: kernel.OutcomeAnswered, Status: 200}
+	h := f.wrap(kernel.HandlerFunc(func(context.Context, *kernel.Call) *kernel.Result { return answer }))
+	c := &kernel.Call{Allowance: 3}
+	ctx := routing.WithTried(context.Background())
+	b.ReportAllocs()
+	for b.Loop() {
+		h.Serve(ctx, c)
+	}
+}
