--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -22,6 +23,7 @@
 	"github.com/gooseberryflow/gooseberryflow/membership"
 	"github.com/gooseberryflow/gooseberryflow/peer"
 	"github.com/gooseberryflow/gooseberryflow/platform"
+	"github.com/gooseberryflow/gooseberryflow/report"
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
@@ -47,18 +49,22 @@
 	Service       string
 	FailureDomain string
 	// Addresses are IP:port; port 0 lets the kernel choose.
-	CallerAddr     string
-	ControlAddr    string
-	CallAddr       string
-	AdminAddr      string
-	UpstreamAddr   string
-	Identity       peer.Identity
-	Carrier        peer.Carrier
-	Plugins        []string
-	First          []string
-	OperatorTokens []string
-	BodyLimitBytes int64
-	StopTimeout    time.Duration
+	CallerAddr  string
+	ControlAddr string
+	CallAddr    string
+	AdminAddr   string
+	// Announced addresses are what other nodes connect to; empty ones are the
+	// bound ones.
+	AnnouncedControlAddr string
+	AnnouncedCallAddr    string
+	UpstreamAddr         string
+	Identity             peer.Identity
+	Carrier              peer.Carrier
+	Plugins              []string
+	First                []string
+	OperatorTokens       []string
+	BodyLimitBytes       int64
+	StopTimeout          time.Duration
 	// Intervals of the membership service; zero fields take the defaults.
 	Intervals membership.Intervals
 }
@@ -75,6 +81,7 @@
 	membership *membership.Service
 	upstream   *upstream
 	metrics    *metrics
+	recorder   *report.Recorder
 	log        *slog.Logger
 
 	callers     net.Listener
@@ -100,6 +107,7 @@
 	n := &Node{
 		settings: s,
 		metrics:  newMetrics(),
+		recorder: report.NewRecorder(),
 		log:      logger,
 		ended:    make(chan struct{}),
 	}
@@ -138,8 +146,8 @@
 	if n.admin, err = net.Listen("tcp", s.AdminAddr); err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
-	n.self.ControlAddr = n.network.ControlAddr()
-	n.self.CallAddr = n.network.CallAddr()
+	n.self.ControlAddr = cmp.Or(s.AnnouncedControlAddr, n.network.ControlAddr())
+	n.self.CallAddr = cmp.Or(s.AnnouncedCallAddr, n.network.CallAddr())
 	n.self.CallerAddr = n.callers.Addr().String()
 	return nil
 }
@@ -362,6 +370,13 @@
 	})
 }
 
-func (n *Node) observe(_ *kernel.Call, r *kernel.Result, _ time.Duration) {
+// observe feeds the counters. Only root requests count for the service-level
+// report: an error budget is spent once, however deep the failure lies.
+func (n *Node) observe(c *kernel.Call, r *kernel.Result, took time.Duration) {
 	n.metrics.count(r)
+	if c.Nested() || r.Reason == kernel.ReasonCancelled {
+		return
+	}
+	ok := r.Outcome == kernel.OutcomeAnswered && r.Status < http.StatusInternalServerError
+	n.recorder.Observe(c.Customer, c.RouteName, ok, took, n.host.Now())
 }
