Node: one adapter between membership and the admin API

The node and the admin package each had an adapter. The one in package admin stays, since it sorts errors into refusals and unknown outcomes and has tests; the node keeps only the report of burn.

--- a/node/admin.go
+++ b/node/admin.go
@@ -12,7 +12,8 @@
 	mux.HandleFunc("GET /healthz", n.healthy)
 	mux.HandleFunc("GET /readyz", n.ready)
 	mux.HandleFunc("GET /debug/vars", n.serveMetrics)
-	mux.Handle("/", admin.NewHandler(backend{n}, n.settings.OperatorTokens, n.log))
+	backend := admin.NewBackend(n.self.ID, n.membership, n.burn)
+	mux.Handle("/", admin.NewHandler(backend, n.settings.OperatorTokens, n.log))
 	return mux
 }
 
