--- a/experiment/load.go
+++ b/experiment/load.go
@@ -235,10 +235,16 @@
 	reason string
 }
 
+// attempt sends the request once, to any node.
 func (c *callers) attempt(ctx context.Context, a arrival, route Route) verdict {
+	n := len(c.fleet.Workers)
+	return c.attemptAt(ctx, (a.entry+rand.IntN(n))%n, a, route)
+}
+
+func (c *callers) attemptAt(ctx context.Context, worker int, a arrival, route Route) verdict {
 	ctx, stop := context.WithTimeout(ctx, c.fleet.Deployment.Deadline)
 	defer stop()
-	entry := c.fleet.Workers[(a.entry+rand.IntN(len(c.fleet.Workers)))%len(c.fleet.Workers)]
+	entry := c.fleet.Workers[worker]
 	path := "/" + route.Service + strings.ReplaceAll(route.Path, "{id}", a.id)
 	req, err := http.NewRequestWithContext(ctx, route.Method, "http://"+entry.Node.Member().CallerAddr+path, nil)
 	if err != nil {
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -33,6 +34,11 @@
 	Full       Report `json:"gooseberryflow"`
 }
 
+const (
+	warmUpTimeout = time.Minute
+	warmUpPause   = 20 * time.Millisecond
+)
+
 // The surge of the stated target.
 const (
 	DefaultFactor = 3
@@ -75,6 +81,9 @@
 		return Report{}, fmt.Errorf("start the %s fleet: %w", name, err)
 	}
 	defer fleet.Stop()
+	if err := fleet.warmUp(ctx); err != nil {
+		return Report{}, fmt.Errorf("warm up the %s fleet: %w", name, err)
+	}
 	phases := Phases(o.Seconds, o.Factor, o.Slow)
 	list := schedule(o.Deployment, phases, len(fleet.Workers), o.Seed)
 	started := time.Now()
@@ -91,6 +100,27 @@
 	return r, nil
 }
 
+// warmUp sends a light load until every customer is served at every node. A
+// fresh fleet first waits out leases that an earlier one might have granted.
+func (f *Fleet) warmUp(ctx context.Context) error {
+	ctx, stop := context.WithTimeout(ctx, warmUpTimeout)
+	defer stop()
+	c := newCallers(f)
+	kind := f.Deployment.Requests[0]
+	route := f.Deployment.route(kind.Route)
+	for entry := range f.Workers {
+		for _, customer := range f.Deployment.Customers {
+			a := arrival{customer: customer.Name, kind: kind, id: "warm", entry: entry}
+			for !c.attemptAt(ctx, entry, a, route).whole {
+				if !sleep(ctx, warmUpPause) {
+					return errors.New("a customer is not served in time")
+				}
+			}
+		}
+	}
+	return nil
+}
+
 // play sets the conditions of each phase at its time.
 func (f *Fleet) play(ctx context.Context, phases []Phase, started time.Time, progress io.Writer, name string) {
 	at := time.Duration(0)
--- a/node/plugins.go
+++ b/node/plugins.go
@@ -2,7 +2,9 @@
 
 // The plug-ins of a node register themselves when these packages are linked.
 import (
+	_ "github.com/gooseberryflow/gooseberryflow/admission"
 	_ "github.com/gooseberryflow/gooseberryflow/auth"
+	_ "github.com/gooseberryflow/gooseberryflow/ratelimit"
 	_ "github.com/gooseberryflow/gooseberryflow/retry"
 	_ "github.com/gooseberryflow/gooseberryflow/routing"
 )
