Routing: pressure, spill-over and ejection

Cause: own outstanding calls alone can't tell a member that other nodes have filled, and a lost member went on drawing calls.

Change: two distinct random members by pressure (own outstanding calls plus the reported ones, aged, over the limit); own instance and own failure domain first; spill-over on measured pressure; ejection with probes and a floor of half of the members; draining members get nothing new.

--- /dev/null
+++ b/routing/eject.go
@@ -0,0 +1,104 @@
+package routing
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+)
+
+// Points of failure; a member is ejected when those in a row reach ejectAt.
+const (
+	ejectAt       = 6
+	pointsLost    = 6
+	pointsTimeout = 2
+	pointsError   = 1
+
+	ejectFor      = time.Second
+	ejectMax      = 30 * time.Second
+	ejectedAtMost = 0.5 // of a service's members
+)
+
+// verdict is what a result says about the member.
+type verdict uint8
+
+const (
+	neutral verdict = iota
+	healthy
+	failed
+)
+
+// judge classifies a result and gives its points of failure.
+func judge(r *kernel.Result) (verdict, int64) {
+	switch {
+	case r.Lost:
+		return failed, pointsLost
+	case r.Outcome == kernel.OutcomeNotRun && r.Reason == kernel.ReasonNoUpstream:
+		return failed, pointsLost
+	case r.Outcome == kernel.OutcomeUnknown && r.Reason == kernel.ReasonCancelled:
+		return neutral, 0
+	case r.Outcome == kernel.OutcomeUnknown:
+		return failed, pointsTimeout
+	case r.Outcome == kernel.OutcomeNotRun:
+		return neutral, 0
+	case r.Status >= http.StatusInternalServerError:
+		return failed, pointsError
+	}
+	return healthy, 0
+}
+
+// settle takes in the result of a call that the member was claimed for.
+func (g *group) settle(o *owner, r *kernel.Result, now time.Time, random uint64) {
+	o.outstanding.Add(-1)
+	if r.Load != nil {
+		o.report(r.Load, now)
+	}
+	if r.Reason == kernel.ReasonDraining {
+		o.drain(now)
+	}
+	switch v, points := judge(r); v {
+	case healthy:
+		o.points.Store(0)
+		o.ejections.Store(0)
+		o.ejectUntil.Store(0)
+	case failed:
+		if o.points.Add(points) >= ejectAt {
+			g.eject(o, now, random)
+		}
+	}
+	o.probing.Store(false)
+}
+
+// eject takes a member out unless too many are out already. A member that
+// fails as a probe, or as a call sent before the ejection, stays out.
+func (g *group) eject(o *owner, now time.Time, random uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	until := o.ejectUntil.Load()
+	if until > now.UnixMilli() {
+		return
+	}
+	if until == 0 && !g.mayEject() {
+		return
+	}
+	n := o.ejections.Add(1)
+	d := min(ejectFor<<min(n-1, 10), ejectMax)
+	d += time.Duration(random % uint64(d/2))
+	o.ejectUntil.Store(now.Add(d).UnixMilli())
+}
+
+func (g *group) mayEject() bool {
+	all := len(g.local) + len(g.remote)
+	out := countEjected(g.local) + countEjected(g.remote)
+	return float64(out+1) <= ejectedAtMost*float64(all)
+}
+
+func countEjected(owners []*owner) int {
+	n := 0
+	for _, o := range owners {
+		if o.ejectUntil.Load() != 0 {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/routing/owner.go
@@ -0,0 +1,99 @@
+package routing
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+const (
+	// unknownLimit stands for the limit of a member that has not reported.
+	unknownLimit   = 4
+	reportHalfLife = time.Second
+	drainingFor    = 30 * time.Second
+)
+
+// owner is a member with what this node knows about it.
+type owner struct {
+	*stats
+	member state.Member
+	self   bool
+}
+
+// stats is what this node learns about a member from its calls. It outlives
+// the views of the roster.
+type stats struct {
+	outstanding atomic.Int64
+	limit       atomic.Int64 // zero: no report yet
+	others      atomic.Int64 // calls of other nodes at the latest report
+	reported    atomic.Int64 // Unix ms
+	drainUntil  atomic.Int64 // Unix ms
+
+	points     atomic.Int64 // of failure in a row
+	ejectUntil atomic.Int64 // Unix ms; zero: not ejected
+	ejections  atomic.Int64 // in a row
+	probing    atomic.Bool
+}
+
+// report takes in the load that an answer carries.
+func (o *owner) report(l *kernel.Load, now time.Time) {
+	others := int64(l.InFlight+l.Queued) - o.outstanding.Load()
+	o.others.Store(max(others, 0))
+	o.limit.Store(int64(max(l.Limit, 1)))
+	o.reported.Store(now.UnixMilli())
+	if l.Draining {
+		o.drain(now)
+	}
+}
+
+func (o *owner) drain(now time.Time) {
+	o.drainUntil.Store(now.Add(drainingFor).UnixMilli())
+}
+
+// pressure returns the calls at the member in units of its limit.
+func (o *owner) pressure(now time.Time) float64 {
+	own := float64(o.outstanding.Load())
+	limit := o.limit.Load()
+	if limit == 0 {
+		return own / unknownLimit
+	}
+	age := now.UnixMilli() - o.reported.Load()
+	others := float64(o.others.Load())
+	if age > 0 {
+		others *= math.Exp2(-float64(age) / float64(reportHalfLife.Milliseconds()))
+	}
+	return (own + others) / float64(limit)
+}
+
+// measured reports whether the pressure rests on a report.
+func (o *owner) measured() bool { return o.limit.Load() > 0 }
+
+func (o *owner) draining(now time.Time) bool {
+	return o.member.Draining || now.UnixMilli() < o.drainUntil.Load()
+}
+
+// accepts reports whether the member may be chosen: it isn't ejected, or its
+// time is up and nobody probes it.
+func (o *owner) accepts(now time.Time) bool {
+	until := o.ejectUntil.Load()
+	if until == 0 {
+		return true
+	}
+	return now.UnixMilli() >= until && !o.probing.Load()
+}
+
+// claim takes the member for a call. It fails if another call has become the
+// probe in the meantime.
+func (o *owner) claim() bool {
+	if o.ejectUntil.Load() != 0 && !o.probing.CompareAndSwap(false, true) {
+		return false
+	}
+	o.outstanding.Add(1)
+	return true
+}
+
+// take is claim without regard to ejection.
+func (o *owner) take() { o.outstanding.Add(1) }
--- a/routing/plugin.go
+++ b/routing/plugin.go
@@ -18,8 +18,9 @@
 
 // Plugin is the routing plug-in of one node.
 type Plugin struct {
-	host        *kernel.Host
-	outstanding sync.Map // state.MemberID to *atomic.Int64
+	host *kernel.Host
+	view atomic.Pointer[view]
+	mu   sync.Mutex // held while a new view is built
 }
 
 // Provision keeps the host.
@@ -41,41 +42,42 @@
 
 func (p *Plugin) serve(ctx context.Context, c *kernel.Call) *kernel.Result {
 	t := triedFrom(ctx)
-	owner, ok := p.choose(c.Service, t)
-	if !ok {
-		return kernel.Refuse(kernel.ReasonNoUpstream, "no instance of "+c.Service+" is available", 0)
+	g := p.current().groups[c.Service]
+	if g == nil {
+		return noUpstream(c)
 	}
-	t.add(owner.ID)
-	n := p.count(owner.ID)
-	n.Add(1)
-	defer n.Add(-1)
-	r := p.host.Forward(ctx, owner, c)
-	r.Owner = owner.ID
+	o := g.pick(p.host.Now(), p.host.Rand, t)
+	if o == nil {
+		return noUpstream(c)
+	}
+	t.add(o.member.ID)
+	r := p.host.Forward(ctx, o.member, c)
+	r.Owner = o.member.ID
+	g.settle(o, r, p.host.Now(), p.host.Rand())
 	return r
 }
 
-func (p *Plugin) choose(service string, t *tried) (state.Member, bool) {
-	var usable []state.Member
-	for _, m := range p.host.Snapshot().Service(service) {
-		if !m.Draining && !t.has(m.ID) {
-			usable = append(usable, m)
-		}
-	}
-	if len(usable) == 0 {
-		return state.Member{}, false
-	}
-	a := usable[p.host.Rand()%uint64(len(usable))]
-	b := usable[p.host.Rand()%uint64(len(usable))]
-	if p.count(b.ID).Load() < p.count(a.ID).Load() {
-		return b, true
+func noUpstream(c *kernel.Call) *kernel.Result {
+	return kernel.Refuse(kernel.ReasonNoUpstream, "no instance of "+c.Service+" is available", 0)
+}
+
+// current returns the view of the published snapshot.
+func (p *Plugin) current() *view {
+	s := p.host.Snapshot()
+	if v := p.view.Load(); v != nil && v.snapshot == s {
+		return v
 	}
-	return a, true
+	return p.rebuild(s)
 }
 
-func (p *Plugin) count(id state.MemberID) *atomic.Int64 {
-	if n, ok := p.outstanding.Load(id); ok {
-		return n.(*atomic.Int64)
+func (p *Plugin) rebuild(s *state.Snapshot) *view {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v := p.view.Load()
+	if v != nil && v.snapshot == s {
+		return v
 	}
-	n, _ := p.outstanding.LoadOrStore(id, &atomic.Int64{})
-	return n.(*atomic.Int64)
+	v = newView(s, p.host.Self, v)
+	p.view.Store(v)
+	return v
 }
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,310 @@
+package routing
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+var seeds = []uint64{1, 2, 3}
+
+// bench is a routing plug-in in failure domain "a" on a clock that the test
+// moves; answer stands for the owners.
+type bench struct {
+	*Plugin
+	now    time.Time
+	snap   *state.Snapshot
+	calls  map[state.MemberID]int
+	answer func(m state.Member) *kernel.Result
+}
+
+// member names look like "a3": failure domain and number.
+func newBench(t testing.TB, seed uint64, self string, names ...string) *bench {
+	b := &bench{Plugin: &Plugin{}, now: time.Unix(1_700_000_000, 0), calls: map[state.MemberID]int{}}
+	b.roster(names...)
+	b.answer = func(state.Member) *kernel.Result { return good() }
+	rng := rand.New(rand.NewPCG(seed, 3))
+	err := b.Provision(&kernel.Host{
+		Self:     state.Member{ID: state.MemberID(self), Domain: "a"},
+		Now:      func() time.Time { return b.now },
+		Rand:     rng.Uint64,
+		Snapshot: func() *state.Snapshot { return b.snap },
+		Forward: func(_ context.Context, m state.Member, _ *kernel.Call) *kernel.Result {
+			b.calls[m.ID]++
+			return b.answer(m)
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func (b *bench) roster(names ...string) {
+	members := map[state.MemberID]state.Member{}
+	for _, n := range names {
+		id := state.MemberID(n)
+		members[id] = state.Member{ID: id, Service: "s", Domain: n[:1]}
+	}
+	b.snap = (&state.Snapshot{Members: members}).Index()
+}
+
+func (b *bench) send(ctx context.Context, n int) *kernel.Result {
+	var r *kernel.Result
+	for range n {
+		r = b.serve(ctx, &kernel.Call{Service: "s"})
+	}
+	return r
+}
+
+func (b *bench) owner(id state.MemberID) *owner { return b.current().owners[id] }
+
+func good() *kernel.Result { return &kernel.Result{Outcome: kernel.OutcomeAnswered, Status: 200} }
+
+func lost() *kernel.Result {
+	return &kernel.Result{Outcome: kernel.OutcomeUnknown, Lost: true, Reason: kernel.ReasonUpstream}
+}
+
+func loaded(limit, inFlight int) *kernel.Result {
+	r := good()
+	r.Load = &kernel.Load{Limit: limit, InFlight: inFlight}
+	return r
+}
+
+func TestNoUpstream(t *testing.T) {
+	b := newBench(t, 1, "x")
+	r := b.send(t.Context(), 1)
+	if r.Outcome != kernel.OutcomeNotRun || r.Reason != kernel.ReasonNoUpstream {
+		t.Fatalf("%v %q", r.Outcome, r.Reason)
+	}
+}
+
+func TestOwnDomainFirstAndOwnInstancePreferred(t *testing.T) {
+	b := newBench(t, 1, "a1", "a1", "a2", "b1", "b2")
+	b.send(t.Context(), 100)
+	if b.calls["a1"] != 100 {
+		t.Errorf("calls %v, want all at the own instance", b.calls)
+	}
+	b.owner("a1").outstanding.Store(3)
+	b.send(t.Context(), 100)
+	if b.calls["a2"] != 100 {
+		t.Errorf("calls %v, want the second hundred at a2", b.calls)
+	}
+}
+
+func TestSpillOverOnMeasuredPressure(t *testing.T) {
+	b := newBench(t, 1, "x", "a1", "a2", "b1")
+	for _, id := range []state.MemberID{"a1", "a2"} {
+		b.owner(id).outstanding.Store(unknownLimit)
+	}
+	b.send(t.Context(), 10)
+	if b.calls["b1"] != 0 {
+		t.Errorf("%d calls left the domain without a report", b.calls["b1"])
+	}
+	b.answer = func(m state.Member) *kernel.Result {
+		if m.Domain == "a" {
+			return loaded(10, 20)
+		}
+		return loaded(10, 0)
+	}
+	b.send(t.Context(), 50)
+	if b.calls["b1"] < 30 {
+		t.Errorf("%d of 50 calls left a domain at twice its limit", b.calls["b1"])
+	}
+	b.calls["b1"] = 0
+	b.now = b.now.Add(5 * reportHalfLife)
+	b.answer = func(state.Member) *kernel.Result { return loaded(10, 0) }
+	b.send(t.Context(), 50)
+	if b.calls["b1"] != 0 {
+		t.Errorf("%d calls left the domain although the reports are old", b.calls["b1"])
+	}
+}
+
+func TestNeverTheSameOwnerTwice(t *testing.T) {
+	b := newBench(t, 1, "x", "a1", "a2", "b1")
+	b.answer = func(state.Member) *kernel.Result { return kernel.Refuse(kernel.ReasonOverload, "", 0) }
+	ctx := WithTried(t.Context())
+	b.send(ctx, 3)
+	for _, id := range []state.MemberID{"a1", "a2", "b1"} {
+		if b.calls[id] != 1 {
+			t.Errorf("%s got %d calls, want 1", id, b.calls[id])
+		}
+	}
+	if r := b.send(ctx, 1); r.Reason != kernel.ReasonNoUpstream {
+		t.Errorf("a fourth attempt: %q", r.Reason)
+	}
+}
+
+func TestDrainingMemberGetsNothingNew(t *testing.T) {
+	b := newBench(t, 1, "x", "a1", "a2")
+	b.answer = func(m state.Member) *kernel.Result {
+		r := loaded(10, 0)
+		r.Load.Draining = m.ID == "a1"
+		return r
+	}
+	b.send(t.Context(), 200)
+	if b.calls["a1"] != 1 {
+		t.Errorf("draining member got %d calls, want the one that brought the news", b.calls["a1"])
+	}
+}
+
+func TestEjectionAndReturn(t *testing.T) {
+	for _, seed := range seeds {
+		b := newBench(t, seed, "x", "a1", "a2", "a3")
+		down := true
+		b.answer = func(m state.Member) *kernel.Result {
+			if m.ID == "a1" && down {
+				return lost()
+			}
+			return good()
+		}
+		b.send(t.Context(), 300)
+		if b.calls["a1"] != 1 {
+			t.Errorf("seed %d: lost member got %d calls, want 1", seed, b.calls["a1"])
+		}
+		for range 60 {
+			b.now = b.now.Add(time.Second)
+			b.send(t.Context(), 20)
+		}
+		if probes := b.calls["a1"]; probes < 3 || probes > 10 {
+			t.Errorf("seed %d: %d probes in a minute", seed, probes)
+		}
+		down = false
+		b.now = b.now.Add(2 * ejectMax)
+		b.calls = map[state.MemberID]int{}
+		b.send(t.Context(), 300)
+		if b.calls["a1"] < 50 {
+			t.Errorf("seed %d: returned member got %d of 300 calls", seed, b.calls["a1"])
+		}
+	}
+}
+
+func TestOneProbeAtATime(t *testing.T) {
+	b := newBench(t, 1, "x", "a1", "a2")
+	b.owner("a1").ejectUntil.Store(b.now.UnixMilli())
+	b.owner("a2").outstanding.Store(5) // a1 would be the better choice
+	b.answer = func(m state.Member) *kernel.Result {
+		if m.ID == "a1" {
+			b.answer = func(state.Member) *kernel.Result { return good() }
+			b.send(t.Context(), 50)
+		}
+		return good()
+	}
+	b.send(t.Context(), 20)
+	if b.calls["a2"] < 50 {
+		t.Errorf("calls while a1 was being probed: %v", b.calls)
+	}
+}
+
+func TestAtMostHalfAreEjected(t *testing.T) {
+	for n := 1; n <= 7; n++ {
+		var names []string
+		for i := range n {
+			names = append(names, fmt.Sprint("a", i))
+		}
+		b := newBench(t, 1, "x", names...)
+		b.answer = func(state.Member) *kernel.Result { return lost() }
+		b.send(t.Context(), 100)
+		out := countEjected(b.current().groups["s"].local)
+		if out > n/2 {
+			t.Errorf("%d of %d ejected", out, n)
+		}
+		if n > 1 && out == 0 {
+			t.Errorf("none of %d ejected", n)
+		}
+	}
+}
+
+func TestStatsOutliveTheRoster(t *testing.T) {
+	b := newBench(t, 1, "x", "a1", "a2")
+	b.owner("a1").outstanding.Store(9)
+	b.roster("a1", "a2", "a3")
+	if got := b.owner("a1").outstanding.Load(); got != 9 {
+		t.Errorf("outstanding calls after a change of the roster: %d, want 9", got)
+	}
+}
+
+// With one of ten members ten times as slow, its share of the calls is less
+// than a quarter of an equal share, which is what random choice gives it.
+func TestSlowMemberGetsFewCalls(t *testing.T) {
+	for _, seed := range seeds {
+		var names []string
+		for i := range 10 {
+			names = append(names, fmt.Sprint("a", i))
+		}
+		b := newBench(t, seed, "x", names...)
+		rng := rand.New(rand.NewPCG(seed, 4))
+		type running struct {
+			o    *owner
+			left int
+		}
+		var calls []running
+		slow, total := 0, 0
+		for range 5000 {
+			for range 2 {
+				o := b.current().groups["s"].pick(b.now, rng.Uint64, nil)
+				length := 20
+				if o.member.ID == "a0" {
+					length = 200
+					slow++
+				}
+				total++
+				calls = append(calls, running{o, length})
+			}
+			kept := calls[:0]
+			for _, c := range calls {
+				c.left--
+				if c.left > 0 {
+					kept = append(kept, c)
+					continue
+				}
+				b.current().groups["s"].settle(c.o, good(), b.now, 0)
+			}
+			calls = kept
+		}
+		if limit := total / 10 / 4; slow > limit {
+			t.Errorf("seed %d: slow member got %d of %d calls, want at most %d", seed, slow, total, limit)
+		}
+		t.Logf("seed %d: slow member got %d of %d calls", seed, slow, total)
+	}
+}
+
+func BenchmarkServe(b *testing.B) {
+	var names []string
+	for i := range 7 {
+		for _, domain := range "abc" {
+			names = append(names, fmt.Sprintf("%c%d", domain, i))
+		}
+	}
+	p := newBench(b, 1, "x", names...)
+	r := loaded(10, 5)
+	p.answer = func(state.Member) *kernel.Result { return r }
+	c := &kernel.Call{Service: "s"}
+	ctx := WithTried(context.Background())
+	triedFrom(ctx).add("a1")
+	fixed := triedFrom(ctx)
+	b.ReportAllocs()
+	for b.Loop() {
+		fixed.owners = fixed.owners[:1]
+		p.serve(ctx, c)
+	}
+}
+
+func BenchmarkNewView(b *testing.B) {
+	members := map[state.MemberID]state.Member{}
+	for i := range 1100 {
+		id := state.MemberID(fmt.Sprint("m", i))
+		members[id] = state.Member{ID: id, Service: fmt.Sprint("s", i%52), Domain: fmt.Sprint("d", i%6)}
+	}
+	s := (&state.Snapshot{Members: members}).Index()
+	v := newView(s, state.Member{Domain: "d0"}, nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		v = newView(s, state.Member{Domain: "d0"}, v)
+	}
+}
--- /dev/null
+++ b/routing/view.go
@@ -0,0 +1,66 @@
+package routing
+
+import (
+	"sync"
+
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+// group is the members of a service.
+type group struct {
+	local  []*owner // in the node's own failure domain
+	remote []*owner
+	self   *owner // this node's own instance, if it is of the service
+
+	mu sync.Mutex // held while a member is being ejected
+}
+
+// view is the roster as routing needs it. It is immutable but for
+// the stats, which the next view takes over.
+type view struct {
+	snapshot *state.Snapshot
+	groups   map[string]*group
+	owners   map[state.MemberID]*owner
+}
+
+// newView builds the view of a snapshot, keeping what the previous view knows
+// about its members.
+func newView(s *state.Snapshot, self state.Member, previous *view) *view {
+	v := &view{
+		snapshot: s,
+		groups:   map[string]*group{},
+		owners:   make(map[state.MemberID]*owner, len(s.Members)),
+	}
+	for _, domain := range s.Domains() {
+		for _, m := range s.Domain(domain) {
+			v.add(m, self, previous)
+		}
+	}
+	return v
+}
+
+func (v *view) add(m state.Member, self state.Member, previous *view) {
+	o := &owner{stats: known(previous, m.ID), member: m, self: m.ID == self.ID}
+	v.owners[m.ID] = o
+	g := v.groups[m.Service]
+	if g == nil {
+		g = &group{}
+		v.groups[m.Service] = g
+	}
+	if o.self {
+		g.self = o
+	}
+	if m.Domain == self.Domain {
+		g.local = append(g.local, o)
+		return
+	}
+	g.remote = append(g.remote, o)
+}
+
+// known returns what the previous view knows about a member.
+func known(previous *view, id state.MemberID) *stats {
+	if previous != nil && previous.owners[id] != nil {
+		return previous.owners[id].stats
+	}
+	return &stats{}
+}
