--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -113,3 +113,15 @@
 		t.Errorf("-help: exit code %d", ExitCode(err))
 	}
 }
+
+func TestExampleSettingsLoad(t *testing.T) {
+	example, err := os.ReadFile("../docs/node.example.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	valid := validFile(t)
+	credentials := valid[strings.Index(valid, "[tls]"):]
+	if _, err := Load("node.example.toml", append(example, credentials...)); err != nil {
+		t.Error(err)
+	}
+}
