--- a/cmd/gooseberryctl/app.go
+++ b/cmd/gooseberryctl/app.go
@@ -55,9 +55,6 @@
 	return &app{stdout: stdout, stderr: stderr}
 }
 
-// extraCommands adds commands that are defined in files of their own.
-var extraCommands []func(a *app) *ffcli.Command
-
 // run parses and runs one command and returns the exit code.
 func (a *app) run(ctx context.Context, args []string) int {
 	root := a.root()
@@ -88,11 +85,10 @@
 		a.removeCommand(),
 		a.reportCommand(),
 		a.devcertCommand(),
+		a.demoCommand(),
+		a.standinCommand(),
 		a.versionCommand(),
 	}
-	for _, extra := range extraCommands {
-		root.Subcommands = append(root.Subcommands, extra(a))
-	}
 	root.Exec = groupExec(root)
 	return root
 }
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -19,7 +18,6 @@
 
 	"github.com/gooseberryflow/gooseberryflow/internal/devcert"
 	"github.com/gooseberryflow/gooseberryflow/internal/standin"
-	"github.com/gooseberryflow/gooseberryflow/platform"
 	logstandin "github.com/gooseberryflow/gooseberryflow/platform/standin"
 )
 
@@ -306,10 +304,3 @@
 	defer func() { _ = c.Close() }()
 	return c.LocalAddr().String()
 }
-
-// logClient returns a client of the log stand-in over its real interface.
-func (f *fleet) logClient() platform.Log {
-	return platform.NewHTTPLog(f.logServer.URL, stream, f.logServer.Client())
-}
-
-func joinLines(lines ...string) string { return strings.Join(lines, "\n") }
