Node: tests of broken answers, nested cancellation, header hygiene; refuse dot segments

Cause: net/http repeats a request that carries an idempotency key when its connection breaks; a booking would run twice.

--- a/node/front.go
+++ b/node/front.go
@@ -98,6 +98,9 @@
 	if !ok {
 		return nil, kernel.Refuse(kernel.ReasonNoRoute, "the path must start with /SERVICE/", 0)
 	}
+	if hasDotSegment(r.URL.Path) {
+		return nil, kernel.Refuse(kernel.ReasonBadRequest, "the path must not have . or .. segments", 0)
+	}
 	c.Service = service
 	c.Path = rest
 	if r.URL.RawQuery != "" {
@@ -166,6 +169,16 @@
 	return service, "/" + rest, service != ""
 }
 
+// hasDotSegment reports a path that an upstream might resolve to another one.
+func hasDotSegment(path string) bool {
+	for _, s := range strings.Split(path, "/") {
+		if s == "." || s == ".." {
+			return true
+		}
+	}
+	return false
+}
+
 // problem is the body of an answer that the system makes itself (RFC 9457).
 type problem struct {
 	Title   string `json:"title"`
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,195 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/config"
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/retry"
+)
+
+const testBodyLimit = 1 << 16
+
+// rawUpstream answers each request on a TCP connection with fixed bytes and
+// then closes it. It counts the requests that it has read.
+func rawUpstream(t *testing.T, answer string) (address string, requests *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	requests = new(atomic.Int64)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveRaw(c, answer, requests)
+		}
+	}()
+	return l.Addr().String(), requests
+}
+
+// serveRaw answers the first request well, so that the connection is reused,
+// and the second with the given bytes.
+func serveRaw(c net.Conn, answer string, requests *atomic.Int64) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for _, text := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", answer} {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		requests.Add(1)
+		_, _ = io.WriteString(c, text)
+	}
+}
+
+func testCall(method string) *kernel.Call {
+	return &kernel.Call{
+		ID: newID(), Root: newID(), Method: method, Path: "/x", Service: "s",
+		IdempotencyKey: "018f0000-0000-7000-8000-000000000000",
+		DeadlineMS:     time.Now().Add(time.Minute).UnixMilli(),
+	}
+}
+
+// TestBrokenAnswers makes sure that an answer which is not whole is never
+// passed on, never called "not run", and never asked for a second time: by
+// itself net/http repeats a request with an idempotency key.
+func TestBrokenAnswers(t *testing.T) {
+	cases := map[string]string{
+		"no answer":           "",
+		"part of the header":  "HTTP/1.1 200 OK\r\nConte",
+		"part of the body":    "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+		"part of the chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"not HTTP":            "gibberish\r\n\r\n",
+		"over the body limit": "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("x", 100000),
+	}
+	for name, answer := range cases {
+		for _, method := range []string{http.MethodPost, http.MethodGet} {
+			t.Run(method+" "+name, func(t *testing.T) {
+				address, requests := rawUpstream(t, answer)
+				u := newUpstream(address, testBodyLimit, time.Now, newMetrics())
+				if r := u.Serve(context.Background(), testCall(method)); r.Outcome != kernel.OutcomeAnswered {
+					t.Fatalf("first answer: %+v", r)
+				}
+				r := u.Serve(context.Background(), testCall(method))
+				if r.Outcome != kernel.OutcomeUnknown || len(r.Body) != 0 {
+					t.Errorf("got outcome %s with %d bytes, want unknown", r.Outcome, len(r.Body))
+				}
+				if n := requests.Load(); n != 2 {
+					t.Errorf("the upstream got %d requests for 2 calls", n)
+				}
+			})
+		}
+	}
+}
+
+func TestUnreachableUpstreamIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	u := newUpstream(l.Addr().String(), testBodyLimit, time.Now, newMetrics())
+	if r := u.Serve(context.Background(), testCall(http.MethodPost)); r.Outcome != kernel.OutcomeNotRun {
+		t.Errorf("got %s, want not-run", r.Outcome)
+	}
+}
+
+// TestNestedCallEndsWithItsParent cancels a parent while its nested call runs
+// and then presents the parent's token again.
+func TestNestedCallEndsWithItsParent(t *testing.T) {
+	started := make(chan struct{})
+	ended := make(chan error, 1)
+	n := &Node{
+		settings: Settings{BodyLimitBytes: testBodyLimit},
+		metrics:  newMetrics(),
+		upstream: newUpstream("127.0.0.1:1", testBodyLimit, time.Now, newMetrics()),
+	}
+	n.entry = kernel.HandlerFunc(func(ctx context.Context, _ *kernel.Call) *kernel.Result {
+		close(started)
+		<-ctx.Done()
+		ended <- ctx.Err()
+		return kernel.Unknown(kernel.ReasonCancelled, "")
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	parent := &running{call: testCall(http.MethodPost), ctx: ctx, budget: newTestBudget()}
+	token := n.upstream.tokens.add(parent)
+	c := testCall(http.MethodGet)
+	go n.serveCall(httptest.NewRequest(http.MethodGet, "/s/x", nil), c, parent)
+	<-started
+	cancel()
+	if err := <-ended; err != context.Canceled {
+		t.Errorf("the nested call ended with %v", err)
+	}
+	n.upstream.tokens.remove(token)
+	again := httptest.NewRequest(http.MethodGet, "/s/x", nil)
+	again.Header.Set(headerToken, token)
+	if _, r := n.parentOf(again); r == nil || r.Reason != kernel.ReasonNoParent || r.Outcome != kernel.OutcomeNotRun {
+		t.Errorf("a token of an ended call gives %+v", r)
+	}
+}
+
+func TestFindRoute(t *testing.T) {
+	routes := []config.Route{
+		{Name: "one", Method: "GET", Pattern: "/slots/{id}"},
+		{Name: "free", Method: "GET", Pattern: "/slots/free"},
+		{Name: "post", Method: "POST", Pattern: "/slots/{id}"},
+		{Name: "deep", Method: "GET", Pattern: "/slots/{id}/boats"},
+		{Name: "root", Method: "GET", Pattern: "/"},
+	}
+	cases := map[string]string{
+		"GET /slots/7":       "one",
+		"GET /slots/free":    "free",
+		"POST /slots/free":   "post",
+		"GET /slots/7/boats": "deep",
+		"GET /":              "root",
+		"GET /slots/":        "",
+		"GET /slots/7/":      "",
+		"GET /slots":         "",
+		"PUT /slots/7":       "",
+	}
+	for request, want := range cases {
+		method, path, _ := strings.Cut(request, " ")
+		got := ""
+		if r, ok := findRoute(routes, method, path); ok {
+			got = r.Name
+		}
+		if got != want {
+			t.Errorf("%s: route %q, want %q", request, got, want)
+		}
+	}
+}
+
+func TestRequestHeaderHygiene(t *testing.T) {
+	in := http.Header{
+		"Authorization":         {"Bearer secret"},
+		"Idempotency-Key":       {"k"},
+		"Gooseberry-Customer":   {"forged"},
+		"gooseberry-call-token": {"forged"},
+		"Connection":            {"X-One, x-two"},
+		"X-One":                 {"1"},
+		"X-Two":                 {"2"},
+		"Te":                    {"trailers"},
+		"Accept":                {"*/*"},
+	}
+	out := cleanRequestHeader(in)
+	if len(out) != 1 || out.Get("Accept") != "*/*" {
+		t.Errorf("kept %v", out)
+	}
+}
+
+func newTestBudget() *retry.Budget { return retry.NewBudget(1) }
