--- /dev/null
+++ b/routing/plugin.go
@@ -0,0 +1,83 @@
+package routing
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+// Order is the place of routing in the entry chain.
+const Order = 700
+
+func init() {
+	kernel.Register(kernel.Info{Name: "routing", Order: Order, New: func() kernel.Plugin { return &Plugin{} }})
+}
+
+// Plugin is the routing plug-in of one node.
+type Plugin struct {
+	host *kernel.Host
+	view atomic.Pointer[view]
+	mu   sync.Mutex // held while a new view is built
+}
+
+// Provision keeps the host.
+func (p *Plugin) Provision(h *kernel.Host) error {
+	p.host = h
+	return nil
+}
+
+// Validate accepts every configuration.
+func (p *Plugin) Validate() error { return nil }
+
+// Cleanup releases nothing.
+func (p *Plugin) Cleanup() error { return nil }
+
+// WrapEntry returns the terminal handler; next is not called.
+func (p *Plugin) WrapEntry(kernel.Handler) kernel.Handler {
+	return kernel.HandlerFunc(p.serve)
+}
+
+func (p *Plugin) serve(ctx context.Context, c *kernel.Call) *kernel.Result {
+	t := triedFrom(ctx)
+	g := p.current().groups[c.Service]
+	if g == nil {
+		return noUpstream(c)
+	}
+	o := g.pick(p.host.Now(), p.host.Rand, t)
+	if o == nil {
+		return noUpstream(c)
+	}
+	t.add(o.member.ID)
+	r := p.host.Forward(ctx, o.member, c)
+	r.Owner = o.member.ID
+	g.settle(o, r, p.host.Now(), p.host.Rand())
+	return r
+}
+
+func noUpstream(c *kernel.Call) *kernel.Result {
+	return kernel.Refuse(kernel.ReasonNoUpstream, "no instance of "+c.Service+" is available", 0)
+}
+
+// current returns the view of the published snapshot.
+func (p *Plugin) current() *view {
+	s := p.host.Snapshot()
+	if v := p.view.Load(); v != nil && v.snapshot == s {
+		return v
+	}
+	return p.rebuild(s)
+}
+
+func (p *Plugin) rebuild(s *state.Snapshot) *view {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v := p.view.Load()
+	if v != nil && v.snapshot == s {
+		return v
+	}
+	v = newView(s, p.host.Self, v)
+	p.view.Store(v)
+	return v
+}
