--- a/experiment/load.go
+++ b/experiment/load.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -51,6 +52,8 @@
 	// a perfect central token bucket would have admitted.
 	rateRefusals int
 	wrongful     int
+	// lastReason is why the last attempt gave no whole answer.
+	lastReason string
 	// refused is set when the last attempt was refused as not run although
 	// every attempt was within the customer's rate.
 	refusedWithinRate bool
@@ -219,6 +222,7 @@
 
 func (s *sample) count(v verdict, central, withinRate bool) {
 	s.refusedWithinRate = v.notRun && withinRate
+	s.lastReason = cmp.Or(v.reason, "upstream-answer")
 	if v.reason != "rate" {
 		return
 	}
@@ -257,7 +261,7 @@
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return verdict{}
+		return verdict{reason: "caller-timeout"}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -49,6 +49,9 @@
 	OfCapacity float64 `json:"of_capacity"`
 	// WorstCustomer is the lowest ratio of good to offered over customers.
 	WorstCustomer float64 `json:"worst_customer"`
+	// Failures counts requests without a whole answer by priority and by the
+	// reason of the last attempt.
+	Failures map[string]map[string]int `json:"failures,omitempty"`
 }
 
 // Report is the outcome of one run of one chain.
@@ -107,13 +110,16 @@
 }
 
 func phaseReport(d Deployment, p Phase, samples []sample) PhaseReport {
-	r := PhaseReport{Name: p.Name, ByPriority: make(map[string]Goodput), WorstCustomer: 1}
+	r := PhaseReport{Name: p.Name, ByPriority: make(map[string]Goodput), WorstCustomer: 1, Failures: make(map[string]map[string]int)}
 	byCustomer := make(map[string]*Goodput)
 	for _, s := range samples {
 		r.Total.add(s.good)
 		g := r.ByPriority[s.priority.String()]
 		g.add(s.good)
 		r.ByPriority[s.priority.String()] = g
+		if !s.good {
+			r.fail(s.priority.String(), s.lastReason)
+		}
 		if byCustomer[s.customer] == nil {
 			byCustomer[s.customer] = &Goodput{}
 		}
@@ -126,6 +132,13 @@
 	return r
 }
 
+func (r *PhaseReport) fail(priority, reason string) {
+	if r.Failures[priority] == nil {
+		r.Failures[priority] = make(map[string]int)
+	}
+	r.Failures[priority][reason]++
+}
+
 // completed counts the whole answers given from one time to another.
 func completed(samples []sample, from, to time.Duration) int {
 	n := 0
