Quarantine: suspects run apart, a second death shuts a request out

Cause: a request that crashes each upstream which runs it, and is sent again, takes down one instance after the other.

Change: deaths are numbered by the owner node, or named by the incarnation of a node that died too; records merge as growing sets. Suspects run one at a time and are cleared when they get an answer. The nodes of the service are told before the lost call is answered. routing.WithObserver shows every attempt.

--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,424 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/retry"
+	"github.com/gooseberryflow/gooseberryflow/routing"
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+const poison = 666
+
+// fleet is a service whose nodes talk over calls of functions.
+type fleet struct {
+	t     *testing.T
+	mu    sync.Mutex
+	rng   *rand.Rand
+	nodes map[state.MemberID]*node
+	snap  *state.Snapshot
+	// killsNode takes the node down together with its instance, for good.
+	killsNode bool
+	deaths    int
+	off       bool // leaves the quarantine out
+}
+
+type node struct {
+	*Plugin
+	fleet    *fleet
+	member   state.Member
+	handlers map[string]kernel.MessageHandler
+	entry    kernel.Handler
+	owner    kernel.Handler
+	running  map[uint64]int
+	block    chan struct{} // holds calls up if set
+	gone     chan struct{} // closed when the instance dies
+}
+
+func newFleet(t *testing.T, seed uint64, size int) *fleet {
+	f := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 5)), nodes: map[state.MemberID]*node{}}
+	for i := range size {
+		f.start(fmt.Sprint("n", i))
+	}
+	return f
+}
+
+func (f *fleet) rand() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.Uint64()
+}
+
+func (f *fleet) start(name string) *node { return f.startFor("s", name) }
+
+func (f *fleet) startFor(service, name string) *node {
+	id := state.MemberID(name)
+	n := &node{
+		Plugin:   &Plugin{},
+		fleet:    f,
+		member:   state.Member{ID: id, Service: service, Domain: "a"},
+		handlers: map[string]kernel.MessageHandler{},
+		running:  map[uint64]int{},
+		gone:     make(chan struct{}),
+	}
+	h := &kernel.Host{
+		Self: n.member, Now: time.Now, Rand: f.rand, Peers: n, Forward: f.forward,
+		Snapshot: func() *state.Snapshot { f.mu.Lock(); defer f.mu.Unlock(); return f.snap },
+		Log:      slog.New(slog.DiscardHandler),
+		Go:       func(do func()) { go do() },
+	}
+	retries, routes := &retry.Plugin{}, &routing.Plugin{}
+	for _, p := range []kernel.Plugin{n.Plugin, retries, routes} {
+		if err := p.Provision(h); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	n.entry = retries.WrapEntry(routes.WrapEntry(nil))
+	n.owner = kernel.HandlerFunc(n.instance)
+	if !f.off {
+		n.entry, n.owner = n.WrapEntry(n.entry), n.WrapOwner(n.owner)
+	}
+	f.mu.Lock()
+	f.nodes[id] = n
+	f.mu.Unlock()
+	f.publish()
+	return n
+}
+
+func (f *fleet) publish() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	members := map[state.MemberID]state.Member{}
+	for id, n := range f.nodes {
+		members[id] = n.member
+	}
+	f.snap = (&state.Snapshot{Members: members}).Index()
+}
+
+func (f *fleet) node(id state.MemberID) *node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[id]
+}
+
+func (f *fleet) forward(ctx context.Context, m state.Member, c *kernel.Call) *kernel.Result {
+	n := f.node(m.ID)
+	if n == nil {
+		return kernel.Refuse(kernel.ReasonNoUpstream, "", 0)
+	}
+	r := n.owner.Serve(ctx, c)
+	if r.Lost && f.killsNode {
+		return &kernel.Result{Outcome: kernel.OutcomeUnknown, Lost: true}
+	}
+	return r
+}
+
+// instance is the upstream: the poison takes it down with all its calls.
+func (n *node) instance(_ context.Context, c *kernel.Call) *kernel.Result {
+	n.fleet.mu.Lock()
+	n.running[c.Fingerprint]++
+	gone, block := n.gone, n.block
+	n.fleet.mu.Unlock()
+	defer func() {
+		n.fleet.mu.Lock()
+		n.running[c.Fingerprint]--
+		n.fleet.mu.Unlock()
+	}()
+	if c.Fingerprint == poison {
+		n.die()
+	}
+	if block != nil {
+		select {
+		case <-block:
+		case <-gone:
+		}
+	}
+	select {
+	case <-gone:
+		return &kernel.Result{Outcome: kernel.OutcomeUnknown, Lost: true, Reason: kernel.ReasonUpstream}
+	default:
+		return &kernel.Result{Outcome: kernel.OutcomeAnswered, Status: 200}
+	}
+}
+
+func (n *node) die() {
+	f := n.fleet
+	f.mu.Lock()
+	f.deaths++
+	close(n.gone)
+	n.gone = make(chan struct{})
+	if f.killsNode {
+		delete(f.nodes, n.member.ID)
+	}
+	f.mu.Unlock()
+	f.publish()
+}
+
+// Request is part of kernel.Peers.
+func (n *node) Request(ctx context.Context, to state.Member, kind string, body []byte) ([]byte, error) {
+	peer, self := n.fleet.node(to.ID), n.fleet.node(n.member.ID)
+	if peer == nil || self == nil {
+		return nil, kernel.ErrNotSent
+	}
+	time.Sleep(time.Millisecond)
+	return peer.handlers[kind](ctx, n.member.ID, body)
+}
+
+// Handle is part of kernel.Peers.
+func (n *node) Handle(kind string, h kernel.MessageHandler) { n.handlers[kind] = h }
+
+// entryNode returns a random node; where nodes die with their instances, one
+// that has an instance of another service.
+func (f *fleet) entryNode() *node {
+	ids := slices.Sorted(maps.Keys(f.nodes))
+	if f.killsNode {
+		ids = slices.DeleteFunc(ids, func(id state.MemberID) bool { return f.nodes[id].member.Service == "s" })
+	}
+	return f.nodes[ids[f.rand()%uint64(len(ids))]]
+}
+
+func call(fingerprint uint64) *kernel.Call {
+	return &kernel.Call{Service: "s", Fingerprint: fingerprint, Idempotent: true, Allowance: 3}
+}
+
+// A request sent again and again, through any node and with retries, takes
+// down at most two instances.
+func TestPoisonTakesDownAtMostTwo(t *testing.T) {
+	for _, killsNode := range []bool{false, true} {
+		for seed := range uint64(20) {
+			deaths, last := resend(t, seed, killsNode, false)
+			if deaths > 2 {
+				t.Errorf("seed %d, kills nodes %v: %d instances lost", seed, killsNode, deaths)
+			}
+			if last.Reason != kernel.ReasonQuarantine || last.Outcome != kernel.OutcomeNotRun {
+				t.Errorf("seed %d, kills nodes %v: last answer %v %q", seed, killsNode, last.Outcome, last.Reason)
+			}
+		}
+	}
+}
+
+func TestWithoutQuarantinePoisonGoesOn(t *testing.T) {
+	if deaths, _ := resend(t, 1, false, true); deaths <= 2 {
+		t.Errorf("%d instances lost without quarantine", deaths)
+	}
+}
+
+func resend(t *testing.T, seed uint64, killsNode, off bool) (deaths int, last *kernel.Result) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, seed, 0)
+		f.off = off
+		for i := range 10 {
+			f.start(fmt.Sprint("n", i))
+			f.startFor("front", fmt.Sprint("f", i))
+		}
+		f.killsNode = killsNode
+		for range 30 {
+			last = f.entryNode().entry.Serve(t.Context(), call(poison))
+			time.Sleep(10 * time.Millisecond)
+		}
+		synctest.Wait()
+		deaths = f.deaths
+	})
+	return deaths, last
+}
+
+// The calls in flight beside the poison become suspects, run one at a time,
+// and are cleared at all nodes when they have run.
+func TestInnocentsAreCleared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 3)
+		n := f.nodes["n0"]
+		n.block = make(chan struct{})
+		for i := range uint64(5) {
+			go n.owner.Serve(t.Context(), call(i))
+		}
+		synctest.Wait()
+		n.owner.Serve(t.Context(), call(poison))
+		time.Sleep(time.Second)
+		for i := range uint64(5) {
+			for id, other := range f.nodes {
+				if rec := other.table.get(i, time.Now()); !rec.suspect() {
+					t.Errorf("fingerprint %d at %s: %+v, want a suspect", i, id, rec)
+				}
+			}
+		}
+		other := f.nodes["n1"]
+		other.block = make(chan struct{})
+		for i := range uint64(5) {
+			go other.owner.Serve(t.Context(), call(i))
+		}
+		for range 5 {
+			synctest.Wait()
+			if n := other.inside(); n > 1 {
+				t.Errorf("%d suspects beside each other", n)
+			}
+			other.block <- struct{}{}
+		}
+		time.Sleep(time.Second)
+		for i := range uint64(5) {
+			for id, other := range f.nodes {
+				if rec := other.table.get(i, time.Now()); rec.counted() != 0 {
+					t.Errorf("fingerprint %d at %s: %+v, want it cleared", i, id, rec)
+				}
+			}
+		}
+		if rec := other.table.get(poison, time.Now()); !rec.suspect() {
+			t.Errorf("poison: %+v, want a suspect", rec)
+		}
+	})
+}
+
+func (n *node) inside() int {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	sum := 0
+	for _, c := range n.running {
+		sum += c
+	}
+	return sum
+}
+
+// A call that was already running when it became a suspect keeps other
+// suspects out as well.
+func TestRunningSuspectKeepsOthersOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 2)
+		n := f.nodes["n0"]
+		n.block = make(chan struct{})
+		go n.owner.Serve(t.Context(), call(1))
+		synctest.Wait()
+		n.table.death(1, "x", time.Now())
+		n.table.death(2, "x", time.Now())
+		if r := n.owner.Serve(t.Context(), call(2)); r.Outcome != kernel.OutcomeNotRun {
+			t.Errorf("a suspect ran beside another: %v", r.Outcome)
+		}
+		close(n.block)
+		synctest.Wait()
+	})
+}
+
+// Several copies of a call lost in one death count as one death.
+func TestOneDeathCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 2)
+		n := f.nodes["n0"]
+		n.block = make(chan struct{})
+		for range 4 {
+			go n.owner.Serve(t.Context(), call(1))
+		}
+		synctest.Wait()
+		n.die()
+		synctest.Wait()
+		if rec := n.table.get(1, time.Now()); rec.counted() != 1 {
+			t.Errorf("%d deaths counted, want 1", rec.counted())
+		}
+		time.Sleep(sendTimeout)
+	})
+}
+
+func TestNewNodeFetchesTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 2)
+		for _, d := range []deathID{"x", "y"} {
+			f.nodes["n0"].table.death(poison, d, time.Now())
+		}
+		n := f.start("n2")
+		n.Tick(time.Now())
+		time.Sleep(time.Second)
+		if r := n.owner.Serve(t.Context(), call(poison)); r.Reason != kernel.ReasonQuarantine {
+			t.Errorf("a new node let it in: %v %q", r.Outcome, r.Reason)
+		}
+	})
+}
+
+func TestQuarantineEnds(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	table := newTable()
+	table.death(1, "x", now)
+	rec := table.death(1, "y", now)
+	if !rec.quarantined() {
+		t.Fatal("two deaths don't quarantine")
+	}
+	for range 10 { // a repeated report doesn't lengthen it, also at a new node
+		now = now.Add(quarantineFor / 20)
+		table.merge(rec, now)
+		fresh := newTable()
+		if got := fresh.merge(rec, now); got.ExpiresMS != rec.ExpiresMS {
+			t.Fatalf("expiry at a new node %d, want %d", got.ExpiresMS, rec.ExpiresMS)
+		}
+	}
+	now = now.Add(quarantineFor / 2)
+	if rec := table.get(1, now); rec.quarantined() {
+		t.Fatal("still quarantined after its time")
+	}
+	table.expire(now)
+	if n := table.size.Load(); n != 0 {
+		t.Fatalf("%d records left", n)
+	}
+}
+
+// Merging the same reports in any order and number gives the same sets.
+func TestMergeOrderDoesNotMatter(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 6))
+		var reports []record
+		for range 6 {
+			d := deathID(fmt.Sprint(rng.IntN(3)))
+			r := record{Fingerprint: 1, Deaths: []deathID{d}, ExpiresMS: now.UnixMilli() + 1 + rng.Int64N(50_000)}
+			if rng.IntN(3) == 0 {
+				r.Pardoned = r.Deaths
+			}
+			reports = append(reports, r)
+		}
+		a, b := newTable(), newTable()
+		for _, r := range reports {
+			a.merge(r, now)
+		}
+		for _, i := range append(rng.Perm(6), rng.Perm(6)...) {
+			b.merge(reports[i], now)
+		}
+		x, y := a.get(1, now), b.get(1, now)
+		for _, r := range []record{x, y} {
+			slices.Sort(r.Deaths)
+			slices.Sort(r.Pardoned)
+		}
+		if !reflect.DeepEqual(x.Deaths, y.Deaths) || !reflect.DeepEqual(x.Pardoned, y.Pardoned) {
+			t.Fatalf("seed %d: %+v and %+v", seed, x, y)
+		}
+	}
+}
+
+func TestTableIsBounded(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	table := newTable()
+	for i := range uint64(maxRecords + 100) {
+		table.death(i, "x", now.Add(time.Duration(i)*time.Millisecond))
+	}
+	if n := len(table.all()); n > maxRecords {
+		t.Fatalf("%d records, want at most %d", n, maxRecords)
+	}
+}
+
+func BenchmarkOwner(b *testing.B) {
+	p := &Plugin{table: newTable(), flights: newFlights(), isolation: newIsolation()}
+	p.host = &kernel.Host{Now: time.Now}
+	answer := &kernel.Result{Outcome: kernel.OutcomeAnswered, Status: 200}
+	h := p.WrapOwner(kernel.HandlerFunc(func(context.Context, *kernel.Call) *kernel.Result { return answer }))
+	c := call(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		h.Serve(context.Background(), c)
+	}
+}
--- a/routing/plugin.go
+++ b/routing/plugin.go
@@ -54,6 +54,7 @@
 	r := p.host.Forward(ctx, o.member, c)
 	r.Owner = o.member.ID
 	g.settle(o, r, p.host.Now(), p.host.Rand())
+	observe(ctx, c, r)
 	return r
 }
 
