Admission, routing: a load without a limit carries no threshold

Cause: a node that stops refuses with a load that says only that it drains; its zero threshold was taken as one that sheds everything.

Change: loads without a limit are used for draining only; a not-run answer of the instance counts as shedding and lowers the limit.

Seen to fail first: without the guard the second call is shed; without the step the limit stays.

--- a/admission/entry.go
+++ b/admission/entry.go
@@ -42,8 +42,10 @@
 	return r
 }
 
+// learn takes in the threshold of a result. A load without a limit doesn't come
+// from an admission plug-in and has no threshold either.
 func (p *Plugin) learn(table *learnedThresholds, route string, c *kernel.Call, r *kernel.Result) {
-	if r.Load == nil {
+	if r.Load == nil || r.Load.Limit == 0 {
 		return
 	}
 	table.learn(routeKey{route, c.Customer}, report{
--- a/admission/owner.go
+++ b/admission/owner.go
@@ -49,11 +49,15 @@
 	return r
 }
 
+// shedByInstance reports whether the instance itself refused for overload.
 func shedByInstance(r *kernel.Result) bool {
-	if r.Outcome != kernel.OutcomeAnswered {
-		return false
+	switch r.Outcome {
+	case kernel.OutcomeNotRun:
+		return r.Reason == kernel.ReasonOverload
+	case kernel.OutcomeAnswered:
+		return r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests
 	}
-	return r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests
+	return false
 }
 
 // enter waits until the call may run; false means refused.
--- a/admission/plugin_test.go
+++ b/admission/plugin_test.go
@@ -114,7 +114,7 @@
 	return func(context.Context, *kernel.Call) *kernel.Result {
 		return &kernel.Result{
 			Outcome: kernel.OutcomeAnswered, Status: 200, Owner: owner,
-			Load: &kernel.Load{Threshold: threshold},
+			Load: &kernel.Load{Limit: 10, Threshold: threshold},
 		}
 	}
 }
@@ -156,6 +156,44 @@
 	})
 }
 
+// The load of a node that stops carries neither limit nor threshold.
+func TestLoadWithoutLimitIsNoThreshold(t *testing.T) {
+	p := newPlugin(t)
+	chain := p.WrapEntry(kernel.HandlerFunc(func(context.Context, *kernel.Call) *kernel.Result {
+		r := kernel.Refuse(kernel.ReasonDraining, "", 0)
+		r.Load = &kernel.Load{Draining: true}
+		return r
+	}))
+	for n := range byte(2) {
+		if r := chain.Serve(t.Context(), rootCall(n)); r.Reason != kernel.ReasonDraining {
+			t.Fatalf("call %d: %q", n, r.Reason)
+		}
+	}
+}
+
+func TestSheddingInstanceLowersLimit(t *testing.T) {
+	now := modelStart
+	l := NewLimiter(now)
+	l.setLimit(100)
+	for range 2 * windowMaxSamples {
+		l.InFlight(100)
+		l.Shed()
+		now = now.Add(time.Millisecond)
+		l.Observe(now, now, "r", time.Millisecond)
+	}
+	if l.Limit() >= 100 {
+		t.Fatalf("limit %d although the instance sheds", l.Limit())
+	}
+	for _, r := range []*kernel.Result{
+		kernel.Refuse(kernel.ReasonOverload, "", 0),
+		{Outcome: kernel.OutcomeAnswered, Status: 503},
+	} {
+		if !shedByInstance(r) {
+			t.Errorf("not taken as shedding: %v %d", r.Outcome, r.Status)
+		}
+	}
+}
+
 func withPriority(n byte, p config.Priority) *kernel.Call {
 	c := rootCall(n)
 	c.Priority = p
--- a/routing/owner.go
+++ b/routing/owner.go
@@ -38,15 +38,19 @@
 	probing    atomic.Bool
 }
 
-// report takes in the load that an answer carries.
+// report takes in the load that an answer carries; a load without a limit
+// tells only of draining.
 func (o *owner) report(l *kernel.Load, now time.Time) {
-	others := int64(l.InFlight+l.Queued) - o.outstanding.Load()
-	o.others.Store(max(others, 0))
-	o.limit.Store(int64(max(l.Limit, 1)))
-	o.reported.Store(now.UnixMilli())
 	if l.Draining {
 		o.drain(now)
 	}
+	if l.Limit == 0 {
+		return
+	}
+	others := int64(l.InFlight+l.Queued) - o.outstanding.Load()
+	o.others.Store(max(others, 0))
+	o.limit.Store(int64(l.Limit))
+	o.reported.Store(now.UnixMilli())
 }
 
 func (o *owner) drain(now time.Time) {
