--- a/admission/doc.go
+++ b/admission/doc.go
@@ -22,8 +22,9 @@
 // Calls above the limit wait for at most twice the mean service time, within
 // 50 ms to 500 ms. Order: priority, then nested calls before new trees, then
 // start-time fair queueing by customer (Goyal, Vin and Cheng, 1996) with the
-// mean service time of the route as the cost. A tenth of the limit is
-// reserved for config.PriorityCritical. When the queue is full the least
+// mean service time of the route as the cost. The limit
+// so found holds for the lower priorities; config.PriorityCritical has a tenth
+// of it, at least one call, on top for itself. When the queue is full the least
 // important call is refused; among equals it is the newest one of the
 // customer with the most calls waiting. A call whose deadline would pass
 // before the mean service time has elapsed is refused before it runs.
@@ -35,8 +36,8 @@
 // manner of DAGOR (Zhou et al., Overload Control for Scaling WeChat
 // Microservices, 2018): when more than 15% of a customer's calls were refused
 // in a window of 200 ms, the threshold moves down to the rank below which a
-// tenth more than the served calls arrived; the surplus keeps the fair queue
-// supplied. Below 5% it moves back up in doubling steps. The threshold rides
+// tenth more calls arrived than ran; the surplus keeps the fair queue
+// supplied. Below 5% it moves back up in growing steps. The threshold rides
 // on each answer (kernel.Load). The answer to a call that itself made nested
 // calls carries the lowest threshold of the services below as well, by route,
 // so the entry node refuses new trees before any work is spent. All hops use
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -14,7 +14,7 @@
 	waitServices  = 2  // mean service times that a call may wait
 	queuePerLimit = 4  // queue length per unit of the limit
 	queueMin      = 64 // queue length at the lowest limits
-	reservePart   = 10 // one part in ten of the limit is kept for the top priority
+	reservePart   = 10 // the top priority may use a tenth more than the others
 	retryAfterMin = 100 * time.Millisecond
 )
 
@@ -141,7 +141,7 @@
 	took := now.Sub(r.began)
 	switch {
 	case end.Shed:
-		g.limiter.Shed()
+		g.limiter.Shed(now)
 	case end.Answered:
 		g.estimate(r.Route).observe(now, took)
 		g.limiter.Observe(now, r.began, r.Route, end.Own)
@@ -159,7 +159,7 @@
 // Load returns the load report for an answer to a customer's call.
 func (g *Gate) Load(customer string) kernel.Load {
 	return kernel.Load{
-		Limit:     g.limiter.Limit(),
+		Limit:     g.limit(),
 		InFlight:  g.inFlight,
 		Queued:    g.queue.length,
 		Threshold: g.thresholds.get(customer),
@@ -170,7 +170,7 @@
 // front of it has been served, spread over as long again by random.
 func (g *Gate) RetryAfter(now time.Time, r *Request, random uint64) time.Duration {
 	service := g.estimate(r.Route).at(now)
-	drain := service * time.Duration(g.queue.length+1) / time.Duration(g.limiter.Limit())
+	drain := service * time.Duration(g.queue.length+1) / time.Duration(g.limit())
 	return jitter(max(drain, retryAfterMin), random)
 }
 
@@ -199,18 +199,22 @@
 
 // free reports whether a call of a priority may start.
 func (g *Gate) free(p config.Priority) bool {
-	limit := g.limiter.Limit()
-	if g.inFlight >= limit {
+	if g.inFlight >= g.limit() {
 		return false
 	}
-	if p == config.PriorityCritical {
-		return true
-	}
-	return g.lower < limit-max(1, limit/reservePart)
+	return p == config.PriorityCritical || g.lower < g.limiter.Limit()
+}
+
+// limit returns the limit for all calls: that of the limiter for the lower
+// priorities, and the part reserved for the top one.
+func (g *Gate) limit() int {
+	limit := g.limiter.Limit()
+	return limit + max(1, limit/reservePart)
 }
 
 func (g *Gate) run(now time.Time, r *Request) {
 	g.queue.serve(r)
+	g.thresholds.ran(r)
 	g.inFlight++
 	if r.Priority != config.PriorityCritical {
 		g.lower++
@@ -248,7 +252,7 @@
 }
 
 func (g *Gate) capacity() int {
-	return max(queueMin, queuePerLimit*g.limiter.Limit())
+	return max(queueMin, queuePerLimit*g.limit())
 }
 
 func (g *Gate) estimate(route string) *estimate {
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -18,11 +18,12 @@
 	heldMax         = 40 // windows without growth after which the base is checked
 	searchStep      = 0.7
 	shedStep        = 0.9 // after the instance itself has shed load
+	shedInterval    = 100 * time.Millisecond
 
 	windowMinSamples = 30
 	windowMaxSamples = 50
-	windowMaxAge     = time.Second
-	windowFewSamples = 3 // enough when the window is old
+	windowMaxAge     = 300 * time.Millisecond
+	windowFewSamples = 8 // enough when the window is old
 
 	baseFall   = 0.1  // weight of a lower latency in the base
 	baseDrop   = 0.5  // weight of one below clearlyLow
@@ -78,8 +79,18 @@
 // InFlight records the number of calls in flight.
 func (l *Limiter) InFlight(n int) { l.peak = max(l.peak, n) }
 
-// Shed records that the instance itself refused a call for overload.
-func (l *Limiter) Shed() { l.shed = true }
+// Shed records that the instance itself refused a call for overload. An
+// instance that answers none closes no window, so time does it.
+func (l *Limiter) Shed(now time.Time) {
+	l.shed = true
+	if now.Sub(l.opened) < shedInterval {
+		return
+	}
+	l.search = nil
+	l.slowStart = false
+	l.setLimit(l.limit * shedStep)
+	l.openWindow(now)
+}
 
 // Observe records the own time of a completed call. Calls that began before
 // the present limit was set say nothing about it and are left out.
--- a/admission/threshold.go
+++ b/admission/threshold.go
@@ -14,16 +14,24 @@
 
 	shedRefused = 0.15 // refused share of a customer's calls that lowers its threshold
 	openRefused = 0.05 // refused share that raises it again
-	surplus     = 1.1  // calls let through for each call served
-	stepMax     = 8    // buckets
+	surplus     = 1.1  // calls let through for each call that ran
+
+	// A quiet window raises a threshold by a quarter of its part in its
+	// priority's band, and at least by stepMin; the next ones by up to stepMax
+	// times as much.
+	raisePart = 4
+	stepMin   = bucketWidth / 8
+	stepMax   = 4
+	bandWidth = 1 << priorityShift
 )
 
 // customerThreshold is the threshold of one customer at one owner.
 type customerThreshold struct {
 	threshold uint32
-	step      uint32 // buckets by which the next quiet window raises it
+	step      uint32 // factor of the next raise
 	offered   [bucketCount]uint32
 	total     uint32
+	ran       uint32
 	refused   uint32
 	seen      time.Time
 }
@@ -53,6 +61,10 @@
 	c.total++
 }
 
+func (o *ownerThresholds) ran(r *Request) {
+	o.customer(r.Customer).ran++
+}
+
 func (o *ownerThresholds) refused(r *Request) {
 	o.customer(r.Customer).refused++
 }
@@ -90,15 +102,15 @@
 		c.raise()
 	}
 	c.offered = [bucketCount]uint32{}
-	c.total, c.refused = 0, 0
+	c.total, c.ran, c.refused = 0, 0, 0
 }
 
-// lower sets the threshold to the rank below which the served calls and the
-// surplus arrived.
+// lower sets the threshold to the rank below which as many calls arrived as
+// ran, and the surplus. Refusals in the window may be of calls that came before
+// it; if fewer arrived than that, the threshold is low enough.
 func (c *customerThreshold) lower() {
 	c.step = 1
-	served := c.total - min(c.refused, c.total)
-	target := surplus * float64(served)
+	target := surplus * float64(c.ran)
 	below := 0.0
 	for b, n := range c.offered {
 		if below+float64(n) <= target {
@@ -113,7 +125,8 @@
 }
 
 func (c *customerThreshold) raise() {
-	room := MaxThreshold - c.threshold
-	c.threshold += min(room, c.step*bucketWidth)
+	inBand := c.threshold % bandWidth
+	raise := c.step * max(inBand/raisePart, stepMin)
+	c.threshold += min(raise, MaxThreshold-c.threshold)
 	c.step = min(2*c.step, stepMax)
 }
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -17,9 +17,10 @@
 //
 // # Ejection
 //
-// A member is ejected after a lost call or failed connection, three timeouts
-// or six answers with a status of 500 and above in a row, for 1 s, doubling to
-// 30 s, with jitter (outlier detection as in Envoy). Then one call at a time
+// A member is ejected after a lost call or failed connection, after three
+// timeouts in a row, or when most of its answers are errors (status 500 and
+// above) and those of the other members are not, for 1 s, doubling to 30 s,
+// with jitter (outlier detection as in Envoy). Then one call at a time
 // probes it; the first good answer returns it. A refusal counts neither way.
 // At most half of a service's members are ejected at any time, so that
 // failures which all members share don't empty the service. If nothing else
--- a/routing/eject.go
+++ b/routing/eject.go
@@ -12,7 +12,12 @@
 	ejectAt       = 6
 	pointsLost    = 6
 	pointsTimeout = 2
-	pointsError   = 1
+
+	// A member is also ejected when more than errorAbove of its answers are
+	// errors and the others' mean share is less than half of its own.
+	errorGain  = 1.0 / 16 // weight of the latest answer
+	errorAbove = 0.5
+	errorBasis = 16 // answers without which a share is not compared
 
 	ejectFor      = time.Second
 	ejectMax      = 30 * time.Second
@@ -25,6 +30,7 @@
 const (
 	neutral verdict = iota
 	healthy
+	erring // answers with an error
 	failed
 )
 
@@ -42,7 +48,7 @@
 	case r.Outcome == kernel.OutcomeNotRun:
 		return neutral, 0
 	case r.Status >= http.StatusInternalServerError:
-		return failed, pointsError
+		return erring, 0
 	}
 	return healthy, 0
 }
@@ -58,9 +64,16 @@
 	}
 	switch v, points := judge(r); v {
 	case healthy:
+		o.answered(false)
 		o.points.Store(0)
 		o.ejections.Store(0)
 		o.ejectUntil.Store(0)
+	case erring:
+		o.answered(true)
+		o.points.Store(0)
+		if g.outlier(o) {
+			g.eject(o, now, random)
+		}
 	case failed:
 		if o.points.Add(points) >= ejectAt {
 			g.eject(o, now, random)
@@ -85,6 +98,27 @@
 	d := min(ejectFor<<min(n-1, 10), ejectMax)
 	d += time.Duration(random % uint64(d/2))
 	o.ejectUntil.Store(now.Add(d).UnixMilli())
+	o.errors.Store(0)
+	o.answers.Store(0)
+}
+
+// outlier reports whether a member answers with errors that the other members
+// of its service don't have, so that they aren't those of a service below.
+func (g *group) outlier(o *owner) bool {
+	own := o.errorShare()
+	if own <= errorAbove {
+		return false
+	}
+	sum, n := 0.0, 0
+	for _, members := range [][]*owner{g.local, g.remote} {
+		for _, other := range members {
+			if other.stats != o.stats && other.answers.Load() >= errorBasis {
+				sum += other.errorShare()
+				n++
+			}
+		}
+	}
+	return n > 0 && sum/float64(n) < own/2
 }
 
 func (g *group) mayEject() bool {
--- a/routing/owner.go
+++ b/routing/owner.go
@@ -32,9 +32,11 @@
 	reported    atomic.Int64 // Unix ms
 	drainUntil  atomic.Int64 // Unix ms
 
-	points     atomic.Int64 // of failure in a row
-	ejectUntil atomic.Int64 // Unix ms; zero: not ejected
-	ejections  atomic.Int64 // in a row
+	points     atomic.Int64  // of failure in a row
+	errors     atomic.Uint64 // bits of the moving share of answers with an error
+	answers    atomic.Int64  // that the share rests on
+	ejectUntil atomic.Int64  // Unix ms; zero: not ejected
+	ejections  atomic.Int64  // in a row
 	probing    atomic.Bool
 }
 
@@ -89,6 +91,25 @@
 	return now.UnixMilli() >= until && !o.probing.Load()
 }
 
+// answered takes an answer into the share of errors.
+func (o *owner) answered(isError bool) {
+	o.answers.Add(1)
+	sample := 0.0
+	if isError {
+		sample = 1
+	}
+	for {
+		old := o.errors.Load()
+		share := math.Float64frombits(old)
+		share += errorGain * (sample - share)
+		if o.errors.CompareAndSwap(old, math.Float64bits(share)) {
+			return
+		}
+	}
+}
+
+func (o *owner) errorShare() float64 { return math.Float64frombits(o.errors.Load()) }
+
 // claim takes the member for a call. It fails if another call has become the
 // probe in the meantime.
 func (o *owner) claim() bool {
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -184,6 +184,38 @@
 	}
 }
 
+// Errors of one member eject it; errors of all come from a service below and
+// eject none.
+func TestErrorsEjectOutliersOnly(t *testing.T) {
+	broken := &kernel.Result{Outcome: kernel.OutcomeAnswered, Status: 500}
+	for _, seed := range seeds {
+		b := newBench(t, seed, "x", "a1", "a2", "a3", "a4")
+		b.answer = func(m state.Member) *kernel.Result {
+			if m.ID == "a1" {
+				return broken
+			}
+			return good()
+		}
+		b.send(t.Context(), 1000)
+		if b.calls["a1"] > 50 {
+			t.Errorf("seed %d: failing member got %d of 1000 calls", seed, b.calls["a1"])
+		}
+		b = newBench(t, seed, "x", "a1", "a2", "a3", "a4")
+		n := 0
+		b.answer = func(state.Member) *kernel.Result {
+			n++
+			if n%10 < 8 {
+				return broken
+			}
+			return good()
+		}
+		b.send(t.Context(), 1000)
+		if out := countEjected(b.current().groups["s"].local); out != 0 {
+			t.Errorf("seed %d: %d ejected for errors that all have", seed, out)
+		}
+	}
+}
+
 func TestOneProbeAtATime(t *testing.T) {
 	b := newBench(t, 1, "x", "a1", "a2")
 	b.owner("a1").ejectUntil.Store(b.now.UnixMilli())
