Operators' changes: exact outcomes, plug-in names checked, slower repeats

A trial with two daemons showed three faults: - A key that the log had plainly refused was reported as of unknown outcome, since an error of appendAndRead could mean either. It now wraps platform.ErrOutcomeUnknown exactly if the record may be in the log, and the adapter passes errors on. - gooseberryflowd -check accepted names of plug-ins that do not exist. Settings.CheckPlugins refuses them, with exit code 2. - apply asked about an uncertain outcome every 300 ms until its timeout. The pause now doubles from 200 ms to 2 s.

--- a/admin/membership.go
+++ b/admin/membership.go
@@ -65,19 +65,18 @@
 	return memberError(b.members.Remove(ctx, id))
 }
 
-// memberError sorts errors into refusals and unknown outcomes. An error of the
-// log counts as unknown, as a record may have been appended before a later
-// step failed.
+// memberError sorts errors into refusals and unknown outcomes. A withdrawal
+// that no other node knows of is in force here, so its outcome is unknown.
 func memberError(err error) error {
 	switch {
-	case err == nil:
-		return nil
 	case errors.Is(err, membership.ErrNoMember):
 		return fmt.Errorf("%w: %w", ErrNotFound, err)
 	case errors.Is(err, membership.ErrKeyExists), errors.Is(err, membership.ErrKeyWithdrawn):
 		return fmt.Errorf("%w: %w", ErrInvalid, err)
+	case errors.Is(err, membership.ErrNotSpread):
+		return fmt.Errorf("%w: %w", platform.ErrOutcomeUnknown, err)
 	}
-	return fmt.Errorf("%w: %w", platform.ErrOutcomeUnknown, err)
+	return err
 }
 
 func (b *memberBackend) Status() Status {
--- a/admin/membership_test.go
+++ b/admin/membership_test.go
@@ -23,18 +23,32 @@
 	return nil, kernel.ErrNotSent
 }
 
-func newMemberBackend(t *testing.T) (Backend, *standin.Service) {
+// writeOnly is a log that can't be read while on is set.
+type writeOnly struct {
+	platform.Log
+	on bool
+}
+
+func (w *writeOnly) Read(ctx context.Context, from uint64, limit int) (platform.Page, error) {
+	if w.on {
+		return platform.Page{}, standin.ErrDown
+	}
+	return w.Log.Read(ctx, from, limit)
+}
+
+func newMemberBackend(t *testing.T) (Backend, *standin.Service, *writeOnly) {
 	t.Helper()
 	log := standin.New()
+	stream := &writeOnly{Log: log.Stream("s")}
 	self := state.Member{
 		ID: "node-1", Service: "mapas", Domain: "a",
 		ControlAddr: "127.0.0.1:1", CallAddr: "127.0.0.1:2", CallerAddr: "127.0.0.1:3",
 	}
-	m, err := membership.New(membership.Options{Self: self, Log: log.Stream("s"), Peers: noPeers{}, Parse: config.Parse})
+	m, err := membership.New(membership.Options{Self: self, Log: stream, Peers: noPeers{}, Parse: config.Parse})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return NewBackend(self.ID, m, func() report.Report { return report.Report{} }), log
+	return NewBackend(self.ID, m, func() report.Report { return report.Report{} }), log, stream
 }
 
 const smallFile = `failure_domains = ["a"]
@@ -46,7 +60,7 @@
 
 func TestBackendSettlesChangesThroughTheLog(t *testing.T) {
 	ctx := context.Background()
-	b, log := newMemberBackend(t)
+	b, log, _ := newMemberBackend(t)
 	submit := func(base uint64, id string) SubmitResult { return b.Submit(ctx, []byte(smallFile), base, id) }
 
 	if r := submit(0, "change-1"); r != (SubmitResult{Status: SubmitAccepted, Version: 1}) {
@@ -72,7 +86,7 @@
 
 func TestBackendSortsErrors(t *testing.T) {
 	ctx := context.Background()
-	b, log := newMemberBackend(t)
+	b, log, stream := newMemberBackend(t)
 	key, _, err := config.NewKey("golf")
 	if err != nil {
 		t.Fatal(err)
@@ -91,7 +105,18 @@
 	if err := b.Withdraw(ctx, key.ID); err != nil || !b.Snapshot().Withdrawn[key.ID] {
 		t.Errorf("withdrawal: %v", err)
 	}
+	fresh, _, err := config.NewKey("golf")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stream.on = true
+	if err := b.IssueKey(ctx, fresh); !errors.Is(err, platform.ErrOutcomeUnknown) {
+		t.Errorf("key written but not read back: %v", err)
+	}
 	log.SetFaults(standin.Faults{Down: true})
+	if err := b.IssueKey(ctx, fresh); err == nil || errors.Is(err, platform.ErrOutcomeUnknown) {
+		t.Errorf("key refused by the log: %v", err)
+	}
 	if err := b.Withdraw(ctx, "abcdefgh"); !errors.Is(err, platform.ErrOutcomeUnknown) || !b.Snapshot().Withdrawn["abcdefgh"] {
 		t.Errorf("withdrawal during an outage: %v", err)
 	}
--- a/cmd/gooseberryctl/apply.go
+++ b/cmd/gooseberryctl/apply.go
@@ -14,8 +14,12 @@
 	"github.com/gooseberryflow/gooseberryflow/config"
 )
 
-// readBackPause is the time between two questions for a change's outcome.
-const readBackPause = 300 * time.Millisecond
+// The time between two questions for a change's outcome doubles from
+// minPause up to maxPause.
+const (
+	minPause = 200 * time.Millisecond
+	maxPause = 2 * time.Second
+)
 
 const applyHelp = `Puts an operators' file in force, as a whole or not at all.
 
@@ -116,7 +120,7 @@
 	if !outcomeUnknown(result, err) {
 		return result, err
 	}
-	for pause(ctx, readBackPause) {
+	for wait := minPause; pause(ctx, wait); wait = min(2*wait, maxPause) {
 		result, err = a.resolve(ctx, f, p)
 		if err == nil && final(result, p.BaseVersion) {
 			return result, nil
--- a/cmd/gooseberryflowd/main.go
+++ b/cmd/gooseberryflowd/main.go
@@ -13,6 +13,7 @@
 	"syscall"
 
 	"github.com/gooseberryflow/gooseberryflow/internal/version"
+	"github.com/gooseberryflow/gooseberryflow/kernel"
 	"github.com/gooseberryflow/gooseberryflow/node"
 	"github.com/gooseberryflow/gooseberryflow/peer"
 	"github.com/gooseberryflow/gooseberryflow/platform"
@@ -39,6 +40,10 @@
 		_, _ = fmt.Fprintln(stdout, "gooseberryflowd", version.Version)
 		return 0
 	}
+	if err := s.CheckPlugins(pluginNames()); err != nil {
+		_, _ = fmt.Fprintln(stderr, "gooseberryflowd:", err)
+		return settings.ExitCode(err)
+	}
 	if s.CheckOnly {
 		_, _ = fmt.Fprintln(stdout, "settings are valid")
 		return 0
@@ -52,6 +57,14 @@
 	return 0
 }
 
+func pluginNames() []string {
+	var names []string
+	for _, p := range kernel.Registered() {
+		names = append(names, p.Name)
+	}
+	return names
+}
+
 // serve runs nodes until a signal: a new one with a fresh incarnation whenever
 // the fleet has ended the running one. A second signal ends the process.
 func serve(s *settings.Settings, logger *slog.Logger) error {
--- a/membership/operate.go
+++ b/membership/operate.go
@@ -121,16 +121,23 @@
 }
 
 // appendAndRead appends a record whose repetition does no harm, and reads the
-// log up to it.
+// log up to it. Its error wraps platform.ErrOutcomeUnknown if the record may be
+// in the log.
 func (s *Service) appendAndRead(ctx context.Context, r state.Record) error {
 	var err error
+	written := false
 	for range appendTries {
-		if _, err = s.append(ctx, r); !errors.Is(err, platform.ErrOutcomeUnknown) {
+		_, err = s.append(ctx, r)
+		written = written || err == nil || errors.Is(err, platform.ErrOutcomeUnknown)
+		if !errors.Is(err, platform.ErrOutcomeUnknown) {
 			break
 		}
 	}
-	if err != nil {
-		return err
+	if err == nil {
+		err = s.poll(ctx)
 	}
-	return s.poll(ctx)
+	if err != nil && written && !errors.Is(err, platform.ErrOutcomeUnknown) {
+		return fmt.Errorf("%w: %w", platform.ErrOutcomeUnknown, err)
+	}
+	return err
 }
--- a/settings/load.go
+++ b/settings/load.go
@@ -5,6 +5,8 @@
 	"crypto/x509"
 	"fmt"
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/gooseberryflow/gooseberryflow/internal/tomlfile"
@@ -92,3 +94,15 @@
 	}
 	return Operators{Tokens: tokens}
 }
+
+// CheckPlugins returns an *Error if the settings name a plug-in that is not
+// among the known ones.
+func (s *Settings) CheckPlugins(known []string) error {
+	for _, name := range s.Node.Plugins {
+		if !slices.Contains(known, name) {
+			reason := fmt.Sprintf("no plug-in is named %q; there are %s", name, strings.Join(known, ", "))
+			return &Error{File: s.File, Key: "node.plugins", Reason: reason}
+		}
+	}
+	return nil
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -53,6 +53,12 @@
 	if s.Node.Transport != TransportQUIC || len(s.Node.Plugins) != len(DefaultPlugins) || s.Node.StopTimeout != DefaultStopTimeout {
 		t.Errorf("defaults not applied: %+v", s.Node)
 	}
+	if err := s.CheckPlugins(append([]string{"other"}, DefaultPlugins...)); err != nil {
+		t.Error(err)
+	}
+	if err := s.CheckPlugins(DefaultPlugins[1:]); ExitCode(err) != ExitUsage || !strings.Contains(err.Error(), `node.plugins: no plug-in is named "auth"`) {
+		t.Errorf("an unknown plug-in gave %v", err)
+	}
 	if text := s.LogValue().String(); strings.Contains(text, "0123456789abcdef") || strings.Contains(text, "PRIVATE") {
 		t.Errorf("a credential is logged: %s", text)
 	}
