Report: bounded number of series; tool: smaller files

With every customer on every route of the project's design size (300 by 520) a recorder would hold 156,000 series of 1.3 kB. It now counts at most 8192 pairs apart and the rest by route.

The tests were seen to fail with the bound, the pruning, either count of held series, or the second look-up when a pair is added switched off.

--- a/cmd/gooseberryctl/apply.go
+++ b/cmd/gooseberryctl/apply.go
@@ -2,23 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"os"
-	"time"
 
 	"github.com/google/uuid"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	api "github.com/gooseberryflow/gooseberryflow/admin/gen/admin"
-	"github.com/gooseberryflow/gooseberryflow/config"
-)
-
-// The time between two questions for a change's outcome doubles from
-// minPause up to maxPause.
-const (
-	minPause = 200 * time.Millisecond
-	maxPause = 2 * time.Second
 )
 
 const applyHelp = `Puts an operators' file in force, as a whole or not at all.
@@ -113,142 +102,3 @@
 	}
 	return current.Version, nil
 }
-
-// submit sends the change until its outcome is known or ctx ends.
-func (a *app) submit(ctx context.Context, f *fleet, p *api.ApplyPayload) (*api.ChangeResult, error) {
-	result, err := a.send(ctx, f, p)
-	if !outcomeUnknown(result, err) {
-		return result, err
-	}
-	for wait := minPause; pause(ctx, wait); wait = min(2*wait, maxPause) {
-		result, err = a.resolve(ctx, f, p)
-		if err == nil && final(result, p.BaseVersion) {
-			return result, nil
-		}
-	}
-	return nil, unknownChange(result, err)
-}
-
-// final reports whether a result settles a change that was sent before. A
-// rejection does if the change can't come into force any more, whatever
-// becomes of the earlier attempt.
-func final(r *api.ChangeResult, base uint64) bool {
-	switch r.Status {
-	case "accepted":
-		return true
-	case "rejected":
-		return r.Version != base || len(r.Faults) > 0
-	}
-	return false
-}
-
-func (a *app) send(ctx context.Context, f *fleet, p *api.ApplyPayload) (*api.ChangeResult, error) {
-	return ask(ctx, f, func(ctx context.Context, c *api.Client) (*api.ChangeResult, error) {
-		return c.Apply(ctx, p)
-	})
-}
-
-// resolve reads the outcome of a change back or else sends the change again,
-// which is idempotent in the change ID.
-func (a *app) resolve(ctx context.Context, f *fleet, p *api.ApplyPayload) (*api.ChangeResult, error) {
-	result, err := a.readBack(ctx, f, p.ChangeID)
-	if err == nil && final(result, p.BaseVersion) {
-		return result, nil
-	}
-	return a.send(ctx, f, p)
-}
-
-func (a *app) readBack(ctx context.Context, f *fleet, changeID string) (*api.ChangeResult, error) {
-	return ask(ctx, f, func(ctx context.Context, c *api.Client) (*api.ChangeResult, error) {
-		return c.GetChange(ctx, &api.GetChangePayload{ChangeID: changeID, Token: &a.token})
-	})
-}
-
-func outcomeUnknown(r *api.ChangeResult, err error) bool {
-	if err != nil {
-		return exitCode(err) == exitUnknown
-	}
-	return r.Status == "unknown"
-}
-
-func unknownChange(r *api.ChangeResult, err error) error {
-	if err == nil {
-		err = errors.New(reasonOf(r))
-	}
-	return &exitError{exitUnknown, err}
-}
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
-// changeOutput is the outcome of a change as JSON.
-type changeOutput struct {
-	Status   string          `json:"status"`
-	Version  uint64          `json:"version"`
-	ChangeID string          `json:"change_id"`
-	Reason   string          `json:"reason,omitempty"`
-	Faults   []faultOutput   `json:"faults,omitempty"`
-	Changes  []config.Change `json:"changes,omitempty"`
-}
-
-type faultOutput struct {
-	Line   int    `json:"line"`
-	Key    string `json:"key"`
-	Reason string `json:"reason"`
-}
-
-func newChangeOutput(r *api.ChangeResult) changeOutput {
-	out := changeOutput{Status: r.Status, Version: r.Version, ChangeID: r.ChangeID, Reason: reasonOf(r)}
-	for _, f := range r.Faults {
-		out.Faults = append(out.Faults, faultOutput{f.Line, f.Key, f.Reason})
-	}
-	for _, c := range r.Changes {
-		out.Changes = append(out.Changes, config.Change{Kind: config.ChangeKind(c.Kind), Item: c.Item, Name: c.Name, Fields: c.Fields})
-	}
-	return out
-}
-
-func reasonOf(r *api.ChangeResult) string {
-	if r.Reason == nil {
-		return ""
-	}
-	return *r.Reason
-}
-
-func (a *app) showChange(path string, r *api.ChangeResult) error {
-	out := newChangeOutput(r)
-	if a.json {
-		if err := a.writeJSON(out); err != nil {
-			return err
-		}
-	} else {
-		a.printChange(path, out)
-	}
-	if r.Status == "rejected" {
-		return exitf(exitRejected, "rejected: %s; version %d stays in force", out.Reason, out.Version)
-	}
-	return nil
-}
-
-func (a *app) printChange(path string, out changeOutput) {
-	for _, f := range out.Faults {
-		fmt.Fprintf(a.stderr, "%s:%d: %s: %s\n", path, f.Line, f.Key, f.Reason)
-	}
-	switch out.Status {
-	case "accepted":
-		fmt.Fprintf(a.stdout, "accepted: version %d, change %s\n", out.Version, out.ChangeID)
-	case "valid":
-		for _, c := range out.Changes {
-			fmt.Fprintln(a.stdout, c)
-		}
-		fmt.Fprintf(a.stdout, "valid: %d changes to version %d; nothing was applied\n", len(out.Changes), out.Version)
-	}
-}
--- a/report/recorder.go
+++ b/report/recorder.go
@@ -8,11 +8,14 @@
 //
 // Each window is a ring of 13 slots, each a twelfth of the window long, so a
 // window covers its length plus up to one slot. A series of one customer and
-// one route takes about 1.3 kB. Counts live in memory only; a replaced node
-// starts empty.
+// one route takes about 1.3 kB, and a recorder holds at most MaxSeries of them
+// and one more per route. Counts live in memory only; a replaced node starts
+// empty.
 package report
 
 import (
+	"hash/maphash"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +25,13 @@
 var Windows = [windowCount]time.Duration{5 * time.Minute, time.Hour, 6 * time.Hour}
 
 const (
+	// MaxSeries is the number of pairs of customer and route that are counted
+	// apart. Further pairs are counted by route as OtherCustomers.
+	MaxSeries = 8192
+	// OtherCustomers stands for several customers; it is no valid name of one.
+	OtherCustomers = "*"
+
+	shardCount  = 64
 	windowCount = 3
 	// slotsPerWindow is the resolution of a window.
 	slotsPerWindow = 12
@@ -32,7 +42,16 @@
 // Recorder counts requests. Observe takes no lock that is shared by different
 // customers or routes, except when it sees a pair for the first time.
 type Recorder struct {
-	// series is replaced as a whole when a pair is added (read-copy-update).
+	seed   maphash.Seed
+	shards [shardCount]shard
+	// held is the number of series in all shards.
+	held atomic.Int64
+}
+
+// shard holds the series of the pairs that hash to it. The map is replaced as
+// a whole when a pair is added (read-copy-update); shards keep the copies
+// small.
+type shard struct {
 	series atomic.Pointer[map[seriesKey]*series]
 	adding sync.Mutex
 }
@@ -41,62 +60,82 @@
 
 // NewRecorder returns a recorder without counts.
 func NewRecorder() *Recorder {
-	r := &Recorder{}
-	r.series.Store(&map[seriesKey]*series{})
+	r := &Recorder{seed: maphash.MakeSeed()}
+	for i := range r.shards {
+		r.shards[i].series.Store(&map[seriesKey]*series{})
+	}
 	return r
 }
 
 // Observe counts one request; ok tells whether it was answered whole in time.
 func (r *Recorder) Observe(customer, route string, ok bool, latency time.Duration, now time.Time) {
-	key := seriesKey{customer, route}
-	s, known := (*r.series.Load())[key]
-	if !known {
-		s = r.add(key)
-	}
-	s.observe(ok, latency, now)
+	r.find(seriesKey{customer, route}).observe(ok, latency, now)
 }
 
-func (r *Recorder) add(key seriesKey) *series {
-	r.adding.Lock()
-	defer r.adding.Unlock()
-	old := *r.series.Load()
-	if s, known := old[key]; known {
+func (r *Recorder) find(key seriesKey) *series {
+	if s, known := r.shard(key).find(key); known {
 		return s
 	}
-	next := make(map[seriesKey]*series, len(old)+1)
-	for k, s := range old {
-		next[k] = s
+	if r.held.Load() >= MaxSeries {
+		key.customer = OtherCustomers
+	}
+	s, added := r.shard(key).add(key)
+	if added {
+		r.held.Add(1)
 	}
-	s := &series{}
-	next[key] = s
-	r.series.Store(&next)
 	return s
 }
 
-// prune forgets pairs without a request in any window. A request that is
-// observed for such a pair at the same moment may go uncounted.
-func (r *Recorder) prune(now time.Time) {
-	r.adding.Lock()
-	defer r.adding.Unlock()
-	old := *r.series.Load()
-	next := make(map[seriesKey]*series, len(old))
-	for k, s := range old {
-		if !s.idle(now) {
-			next[k] = s
-		}
+func (r *Recorder) shard(key seriesKey) *shard {
+	return &r.shards[maphash.Comparable(r.seed, key)%shardCount]
+}
+
+func (s *shard) find(key seriesKey) (*series, bool) {
+	found, known := (*s.series.Load())[key]
+	return found, known
+}
+
+// add returns the series of a pair and whether it is new.
+func (s *shard) add(key seriesKey) (*series, bool) {
+	if found, known := s.find(key); known {
+		return found, false
+	}
+	s.adding.Lock()
+	defer s.adding.Unlock()
+	if found, known := s.find(key); known {
+		return found, false
 	}
-	r.series.Store(&next)
+	next := maps.Clone(*s.series.Load())
+	next[key] = &series{}
+	s.series.Store(&next)
+	return next[key], true
+}
+
+// prune forgets pairs without a request in any window and returns their
+// number. A request that is observed for such a pair at the same moment may go
+// uncounted.
+func (s *shard) prune(now time.Time) int {
+	s.adding.Lock()
+	defer s.adding.Unlock()
+	next := maps.Clone(*s.series.Load())
+	before := len(next)
+	maps.DeleteFunc(next, func(_ seriesKey, one *series) bool { return one.idle(now) })
+	s.series.Store(&next)
+	return before - len(next)
 }
 
 // Report returns the counts of all pairs, ordered by customer and route.
 // Objective gives a route's objective by name; zero means none.
 func (r *Recorder) Report(now time.Time, objective func(route string) float64) Report {
-	r.prune(now)
 	var rep Report
-	for key, s := range *r.series.Load() {
-		row := Row{Customer: key.customer, Route: key.route, Objective: objective(key.route)}
-		row.Windows = s.windows(now)
-		rep.Rows = append(rep.Rows, row)
+	for i := range r.shards {
+		s := &r.shards[i]
+		r.held.Add(-int64(s.prune(now)))
+		for key, one := range *s.series.Load() {
+			row := Row{Customer: key.customer, Route: key.route, Objective: objective(key.route)}
+			row.Windows = one.windows(now)
+			rep.Rows = append(rep.Rows, row)
+		}
 	}
 	rep.sort()
 	return rep
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -1,6 +1,7 @@
 package report
 
 import (
+	"fmt"
 	"math"
 	"strings"
 	"sync"
@@ -95,10 +96,10 @@
 	const workers, each = 8, 500
 	r := NewRecorder()
 	var wg sync.WaitGroup
-	for w := range workers {
+	for range workers {
 		wg.Go(func() {
 			for i := range each {
-				r.Observe("golf", string(rune('a'+(w+i)%5)), true, 0, start)
+				r.Observe("golf", fmt.Sprint(i), true, 0, start)
 			}
 		})
 	}
@@ -112,6 +113,27 @@
 	}
 }
 
+func TestSeriesAreBounded(t *testing.T) {
+	const extra = 100
+	r := NewRecorder()
+	for i := range MaxSeries + extra {
+		r.Observe(fmt.Sprint(i), "maps", true, 0, start)
+	}
+	rows := r.Report(start, objective).Rows
+	if len(rows) != MaxSeries+1 {
+		t.Fatalf("%d rows, want %d", len(rows), MaxSeries+1)
+	}
+	if rows[0].Customer != OtherCustomers || rows[0].Windows[0].Total != extra {
+		t.Errorf("first row %+v, want %d requests of other customers", rows[0], extra)
+	}
+	later := start.Add(24 * time.Hour)
+	r.Report(later, objective)
+	r.Observe("golf", "maps", true, 0, later)
+	if rows := r.Report(later, objective).Rows; len(rows) != 1 || rows[0].Customer != "golf" {
+		t.Errorf("idle series still count against the bound: %+v", rows)
+	}
+}
+
 func BenchmarkObserve(b *testing.B) {
 	r := NewRecorder()
 	b.RunParallel(func(pb *testing.PB) {
