--- a/internal/tomlfile/document.go
+++ b/internal/tomlfile/document.go
@@ -68,6 +68,12 @@
 	return 0
 }
 
+// Present reports whether the document holds the key.
+func (d *Document) Present(key string) bool {
+	_, ok := d.lines[key]
+	return ok
+}
+
 // Problems returns all problems in line order, including one for each key
 // that no getter has asked for. Call it after the last getter.
 func (d *Document) Problems() []Problem {
--- a/settings/load.go
+++ b/settings/load.go
@@ -31,7 +31,8 @@
 }
 
 // Load reads a settings file. Unknown keys are faults. The error is an *Error
-// for the first fault in the file.
+// for the first fault of a key in the file, else for the first absent key: an
+// absent key is often a misspelt one.
 func Load(file string, data []byte) (*Settings, error) {
 	doc := tomlfile.Parse(data)
 	s := &Settings{File: file}
@@ -43,10 +44,15 @@
 		s.TLS = readTLS(root.Table("tls"))
 		s.Operators = readOperators(root.Table("operators"))
 	}
-	for _, p := range doc.Problems() {
-		return nil, &Error{File: file, Line: p.Line, Key: p.Key, Reason: p.Reason}
+	problems := doc.Problems()
+	if len(problems) == 0 {
+		return s, nil
 	}
-	return s, nil
+	first := problems[0]
+	if i := slices.IndexFunc(problems, func(p tomlfile.Problem) bool { return doc.Present(p.Key) }); i >= 0 {
+		first = problems[i]
+	}
+	return nil, &Error{File: file, Line: first.Line, Key: first.Key, Reason: first.Reason}
 }
 
 func readPlatform(t *tomlfile.Table) Platform {
