Claims: at most one run per idempotency key

Cause: a request that is not idempotent must run at most once, although two members may believe at once that they own its key, one of them may have been paused for any time, and the log may be away.

Change: each shard's owner grants only keys minted within the range of its tenure, which ends a margin after its last confirmed contact and starts a margin and the skew bound after the change of the roster that opened it. The ranges never meet (claims/doc.go has the argument). New owners learn the exact end of the range before theirs; a planned stop hands ranges and keys over.

Ruled out: checking ownership by a clock at the time of the grant (a pause between check and grant defeats it); asking a chain of former owners by rendezvous over a reduced roster (it names the wrong member after two changes, so the answer carries the member and the change instead); lowering the start of a range after a key before it was said never to run (denied keys are remembered as a bound).

TestRangesAtSkewBound fails with the skew left out, TestLateClaim with released attempts forgotten, TestUnreachableOwner without the release, TestBoundedMemory without the bound.

--- /dev/null
+++ b/claims/key_test.go
@@ -0,0 +1,110 @@
+package claims
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+const keyText = "01890a5d-ac96-774b-bcce-b302099a8057"
+
+func TestParseKey(t *testing.T) {
+	k, err := ParseKey(strings.ToUpper(keyText))
+	if err != nil || k.String() != keyText {
+		t.Fatalf("got %v, %v", k, err)
+	}
+	if k.MintedMS() != 0x01890a5dac96 {
+		t.Errorf("minted %#x", k.MintedMS())
+	}
+	for _, text := range []string{"", "x", keyText + "0", strings.ReplaceAll(keyText, "-", ""), "{" + keyText[2:] + "}",
+		strings.Replace(keyText, "-7", "-4", 1), strings.Replace(keyText, "-b", "-c", 1), strings.Replace(keyText, "0", "g", 1)} {
+		if _, err := ParseKey(text); !errors.Is(err, ErrMalformedKey) {
+			t.Errorf("%q: error %v, want ErrMalformedKey", text, err)
+		}
+	}
+}
+
+func TestChildKey(t *testing.T) {
+	child := ChildKey(keyText, "booker", "POST", "/slots", []byte("a"), 0)
+	k, err := ParseKey(child)
+	parent, _ := ParseKey(keyText)
+	if err != nil || k.MintedMS() != parent.MintedMS() {
+		t.Fatalf("child %q: %v", child, err)
+	}
+	if again := ChildKey(strings.ToUpper(keyText), "booker", "POST", "/slots", []byte("a"), 0); again != child {
+		t.Errorf("same request gave %q and %q", child, again)
+	}
+	others := []string{
+		ChildKey(child, "booker", "POST", "/slots", []byte("a"), 0),
+		ChildKey(keyText, "bookerP", "OST", "/slots", []byte("a"), 0),
+		ChildKey(keyText, "booker", "POST", "/slotsa", nil, 0),
+		ChildKey(keyText, "booker", "POST", "/slots", []byte("a"), 1),
+	}
+	for _, other := range others {
+		if other == child || other == "" {
+			t.Errorf("other request gave %q", other)
+		}
+	}
+	if ChildKey("none", "booker", "POST", "/", nil, 0) != "" {
+		t.Error("a malformed parent key was accepted")
+	}
+}
+
+func FuzzParseKey(f *testing.F) {
+	f.Add(keyText)
+	f.Add(strings.ToUpper(keyText))
+	f.Add("urn:uuid:" + keyText)
+	f.Fuzz(func(t *testing.T, text string) {
+		k, err := ParseKey(text)
+		if err != nil {
+			return
+		}
+		if again, err := ParseKey(k.String()); err != nil || again != k || !strings.EqualFold(text, k.String()) {
+			t.Fatalf("%q parsed as %s: %v", text, k, err)
+		}
+	})
+}
+
+// FuzzMessages decodes arbitrary bytes as each message and handles it.
+func FuzzMessages(f *testing.F) {
+	for _, m := range []any{ClaimRequest{Closing: Change{Member: "m"}}, ReleaseRequest{}, ClaimAnswer{Verdict: VerdictBefore},
+		ClosedNotice{Change: Change{Member: "m"}, Ends: []TenureEnd{{Shard: 65535}}},
+		Handover{Shard: 7, Tenures: []Tenure{{Open: true}}, Entries: []Entry{{Held: true}}}} {
+		data, err := cbor.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		w := newWorld(1, 1, false)
+		w.runUntil(w.now + 100)
+		table := w.nodes[0].table
+		var claim ClaimRequest
+		if cbor.Unmarshal(data, &claim) == nil && table.Claim(claim).Verdict == 0 {
+			t.Error("claim without verdict")
+		}
+		var release ReleaseRequest
+		if cbor.Unmarshal(data, &release) == nil {
+			table.Release(release)
+		}
+		var notice ClosedNotice
+		if cbor.Unmarshal(data, &notice) == nil {
+			table.Closed(notice)
+		}
+		var handover Handover
+		if cbor.Unmarshal(data, &handover) == nil {
+			table.Adopt(handover)
+		}
+		var answer ClaimAnswer
+		if cbor.Unmarshal(data, &answer) == nil {
+			a, _ := begin(w.nodes[0].snap, claim)
+			a.asked = append(a.asked, w.nodes[0].member)
+			if s := a.answered(answer); !s.ask && s.result == nil && answer.Verdict != VerdictGranted {
+				t.Error("call may run without a grant")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/claims/plugin_test.go
@@ -0,0 +1,167 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+// fakePeers hands requests to a function.
+type fakePeers struct {
+	request func(kind string, body []byte) ([]byte, error)
+}
+
+func (f *fakePeers) Handle(string, kernel.MessageHandler) {}
+
+func (f *fakePeers) Request(_ context.Context, _ state.Member, kind string, body []byte) ([]byte, error) {
+	return f.request(kind, body)
+}
+
+// newPlugin returns the plug-in of the first node of a world of two failure
+// domains with one member each, and a key whose home is the given one.
+func newPlugin(t *testing.T, home string, peers *fakePeers) (*Plugin, *kernel.Call) {
+	w := newWorld(1, 1, false)
+	w.runUntil(w.now + 5000)
+	n := w.nodes[0]
+	p := &Plugin{Settings: testSettings}
+	h := &kernel.Host{Self: n.member, Now: n.clock, Rand: w.rng.Uint64, Peers: peers, Log: slog.Default(),
+		Snapshot: func() *state.Snapshot { return n.snap }, Go: func(f func()) { f() }}
+	if err := p.Provision(h); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	p.table = n.table
+	k := newKey(w.now, [10]byte{})
+	for i := byte(0); k.Home([]string{"a", "b"}) != home; i++ {
+		k = newKey(w.now, [10]byte{9: i})
+	}
+	return p, &kernel.Call{Customer: "c", IdempotencyKey: k.String(), Fingerprint: 1}
+}
+
+func (p *Plugin) try(c *kernel.Call, res *kernel.Result) (*kernel.Result, bool) {
+	ran := false
+	h := p.WrapEntry(kernel.HandlerFunc(func(context.Context, *kernel.Call) *kernel.Result {
+		ran = true
+		return res
+	}))
+	return h.Serve(context.Background(), c), ran
+}
+
+var (
+	answered = &kernel.Result{Outcome: kernel.OutcomeAnswered}
+	notRun   = kernel.Refuse(kernel.ReasonOverload, "", 0)
+)
+
+func TestLocalClaim(t *testing.T) {
+	p, c := newPlugin(t, "a", nil)
+	if _, ran := p.try(c, notRun); !ran {
+		t.Fatal("first attempt did not run")
+	}
+	if _, ran := p.try(c, answered); !ran {
+		t.Fatal("a key given back was not granted again")
+	}
+	res, ran := p.try(c, answered)
+	if ran || res.Outcome != kernel.OutcomeUnknown || res.Reason != kernel.ReasonDuplicate || res.Status != 409 {
+		t.Errorf("duplicate: ran %v, %+v", ran, res)
+	}
+	c.Customer = "d"
+	res, ran = p.try(c, answered)
+	if ran || res.Outcome != kernel.OutcomeUnknown || res.Reason != kernel.ReasonBadRequest {
+		t.Errorf("other customer: ran %v, %+v", ran, res)
+	}
+	c.Idempotent = true
+	if _, ran := p.try(c, answered); !ran {
+		t.Error("an idempotent call did not run")
+	}
+}
+
+func TestKeyChecks(t *testing.T) {
+	p, _ := newPlugin(t, "a", nil)
+	ahead := p.host.Now().Add(testSettings.MaxAhead + time.Second).UnixMilli()
+	for text, want := range map[string]kernel.Reason{
+		"":                                 kernel.ReasonKeyMissing,
+		"booking-17":                       kernel.ReasonBadRequest,
+		newKey(ahead, [10]byte{}).String(): kernel.ReasonBadRequest,
+	} {
+		res, ran := p.try(&kernel.Call{IdempotencyKey: text}, answered)
+		if ran || res.Reason != want {
+			t.Errorf("%q: ran %v, reason %q, want %q", text, ran, res.Reason, want)
+		}
+	}
+}
+
+// TestUnreachableOwner checks that a claim without an answer refuses the call
+// and is given back, so that a grant that arrives later has no effect.
+func TestUnreachableOwner(t *testing.T) {
+	var claim ClaimRequest
+	var release ReleaseRequest
+	peers := &fakePeers{}
+	peers.request = func(kind string, body []byte) ([]byte, error) {
+		if kind == kindClaim {
+			_ = cbor.Unmarshal(body, &claim)
+			return nil, errors.New("timeout")
+		}
+		_ = cbor.Unmarshal(body, &release)
+		return cbor.Marshal(Ack{})
+	}
+	p, c := newPlugin(t, "b", peers)
+	res, ran := p.try(c, answered)
+	if ran || res.Outcome != kernel.OutcomeNotRun || res.Reason != kernel.ReasonKeyOwner {
+		t.Fatalf("ran %v, %+v", ran, res)
+	}
+	if claim.Attempt == (Attempt{}) || release.Attempt != claim.Attempt {
+		t.Fatalf("claimed %x, released %x", claim.Attempt, release.Attempt)
+	}
+}
+
+// TestLateClaim checks that a claim that arrives after its release is not
+// granted, and does not hold the key.
+func TestLateClaim(t *testing.T) {
+	p, c := newPlugin(t, "a", nil)
+	k, _ := ParseKey(c.IdempotencyKey)
+	late := ClaimRequest{Key: k, Attempt: Attempt{1}, Content: content(c)}
+	p.table.Release(ReleaseRequest{Key: k, Attempt: late.Attempt, Content: late.Content})
+	if v := p.table.Claim(late).Verdict; v != VerdictReleased {
+		t.Fatalf("late claim: verdict %d", v)
+	}
+	if _, ran := p.try(c, answered); !ran {
+		t.Fatal("the key was held by a late claim")
+	}
+}
+
+// TestBoundedMemory checks the maximum size and the retention period.
+func TestBoundedMemory(t *testing.T) {
+	settings := testSettings
+	settings.MaxEntries = 2
+	w := newWorld(1, 1, false)
+	w.runUntil(w.now + 5000)
+	table := w.nodes[0].table
+	table.settings = settings
+	granted := 0
+	for i := range byte(100) {
+		if table.Claim(ClaimRequest{Key: newKey(w.now, [10]byte{9: i}), Attempt: Attempt{i}}).Verdict == VerdictGranted {
+			granted++
+		}
+	}
+	if granted != 2 || table.Len() != 2 {
+		t.Errorf("granted %d keys and kept %d, want 2", granted, table.Len())
+	}
+	for range shardCount / sweepPerTick {
+		table.Prune(time.UnixMilli(w.now).Add(settings.Retention + time.Second))
+	}
+	if table.Len() != 0 {
+		t.Errorf("%d keys kept past the retention period", table.Len())
+	}
+	if v := table.Claim(ClaimRequest{Key: newKey(w.now, [10]byte{})}).Verdict; v != VerdictExpired {
+		t.Errorf("forgotten key: verdict %d", v)
+	}
+}
--- /dev/null
+++ b/claims/resign.go
@@ -0,0 +1,127 @@
+package claims
+
+import (
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+// maxHandoverEntries bounds the keys in one handover message.
+const maxHandoverEntries = 500
+
+// OutgoingHandover is one shard to be handed over: the messages must be sent
+// in order, each after the one before has been acknowledged, all to one member.
+type OutgoingHandover struct {
+	To       state.Member
+	Messages []Handover
+}
+
+// Resign stops all granting, for good, and returns what the next owners need
+// to go on in this node's place.
+func (t *Table) Resign() []OutgoingHandover {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.resigned || t.roster == nil {
+		return nil
+	}
+	t.resigned = true
+	var out []OutgoingHandover
+	for i := range t.shards {
+		heir, ok := t.roster.heir(uint16(i), t.self.ID)
+		tenures, entries := t.shards[i].drain(heir)
+		if ok && len(tenures)+len(entries) > 0 {
+			out = append(out, OutgoingHandover{To: heir, Messages: t.messages(uint16(i), tenures, entries)})
+		}
+	}
+	return out
+}
+
+// drain empties a shard. Claims that arrive later are sent to the heir.
+func (s *shard) drain(heir state.Member) ([]Tenure, []Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tenures := make([]Tenure, 0, len(s.tenures))
+	for _, t := range s.tenures {
+		handed := *t
+		handed.LowMS = max(handed.LowMS, s.floorMS)
+		tenures = append(tenures, handed)
+	}
+	entries := make([]Entry, 0, len(s.entries))
+	for _, e := range s.entries {
+		entries = append(entries, *e)
+	}
+	s.total.Add(-int64(len(entries)))
+	s.tenures = nil
+	s.entries = nil
+	s.owner = heir
+	return tenures, entries
+}
+
+func (t *Table) messages(shard uint16, tenures []Tenure, entries []Entry) []Handover {
+	var out []Handover
+	h := Handover{From: t.self.ID, Domains: t.domains, Shard: shard}
+	for len(entries) > maxHandoverEntries {
+		part := h
+		part.Entries = entries[:maxHandoverEntries]
+		entries = entries[maxHandoverEntries:]
+		out = append(out, part)
+	}
+	h.Entries = entries
+	h.Tenures = tenures
+	return append(out, h)
+}
+
+// Adopt takes in a handover. Adopted entries only ever deny claims, so they
+// are taken at once; tenures come with the last message.
+func (t *Table) Adopt(h Handover) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.resigned || t.roster == nil || h.Shard >= shardCount {
+		return
+	}
+	s := &t.shards[h.Shard]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.merge(h.Entries)
+	if h.Domains != t.domains {
+		return
+	}
+	for _, in := range h.Tenures {
+		if !s.knows(&in) && (in.Open || in.endMS() >= s.floorMS) {
+			t.adopt(s, h, in)
+		}
+	}
+}
+
+// adopt adds one tenure. An open one stays open only if this node sees the
+// very same tenure in force.
+func (t *Table) adopt(s *shard, h Handover, in Tenure) {
+	in.LowMS = max(in.LowMS, s.floorMS)
+	if in.Open {
+		now := t.roster.owners[h.Shard]
+		end := Change{Member: h.From, Ended: true}
+		switch {
+		case now.owner == h.From && now.opened == in.Opened && in.Opened.known() && s.open() == nil:
+		case now.owner == t.self.ID && now.opened == end:
+			in.close(end)
+			s.start(end, in.endMS())
+		default:
+			in.close(Change{})
+		}
+	}
+	s.tenures = append(s.tenures, &in)
+}
+
+// start lets the tenure that a change opened begin where the one before ends.
+func (s *shard) start(opened Change, endMS int64) {
+	if t := s.open(); t != nil && t.Opened == opened {
+		t.lower(endMS)
+	}
+}
+
+func (s *shard) knows(in *Tenure) bool {
+	for _, t := range s.tenures {
+		if t.same(in) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/claims/settings.go
@@ -0,0 +1,52 @@
+package claims
+
+import (
+	"errors"
+	"time"
+)
+
+// Settings are the parameters of the plug-in. Margin and Skew must be equal
+// on all nodes of a failure domain.
+type Settings struct {
+	// Margin is how long after its last confirmed contact an owner grants new
+	// keys, and how long after a change a successor waits.
+	Margin time.Duration
+	// Skew bounds the difference between the clocks of any two nodes.
+	Skew time.Duration
+	// MaxAhead bounds how far in the future a key may have been minted, by
+	// the clock of the node that takes the call.
+	MaxAhead time.Duration
+	// Retention is how long a key is remembered, counted from its minting.
+	Retention time.Duration
+	// MaxEntries bounds the number of keys remembered by a node.
+	MaxEntries int64
+	// ClaimTimeout bounds the time spent on a claim by an entry node.
+	ClaimTimeout time.Duration
+}
+
+// DefaultSettings returns the settings used unless others are given.
+func DefaultSettings() Settings {
+	return Settings{
+		Margin:       10 * time.Second,
+		Skew:         time.Second,
+		MaxAhead:     5 * time.Second,
+		Retention:    15 * time.Minute,
+		MaxEntries:   200_000,
+		ClaimTimeout: 500 * time.Millisecond,
+	}
+}
+
+// Validate reports settings under which the plug-in can't work.
+func (s Settings) Validate() error {
+	switch {
+	case s.Margin <= 0 || s.Skew <= 0 || s.MaxAhead < 0:
+		return errors.New("claims: margin and skew must be positive")
+	case s.Retention < 2*(s.Margin+s.Skew+s.MaxAhead):
+		return errors.New("claims: retention must be at least twice margin, skew and max-ahead together")
+	case s.MaxEntries <= 0:
+		return errors.New("claims: max-entries must be positive")
+	case s.ClaimTimeout <= 0:
+		return errors.New("claims: claim timeout must be positive")
+	}
+	return nil
+}
--- /dev/null
+++ b/claims/tenure.go
@@ -0,0 +1,66 @@
+package claims
+
+import (
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+// Tenure is the period, in log order, for which one member owns a shard, and
+// the range of minting times [LowMS, HighMS) that it may grant meanwhile.
+// Ranges of different tenures of a shard never overlap; see doc.go.
+type Tenure struct {
+	LowMS  int64 `cbor:"1,keyasint"`
+	HighMS int64 `cbor:"2,keyasint"`
+	// Opened and Closed are the changes that began and ended the tenure.
+	// Closed is zero while it lasts and when the change is not known.
+	Opened Change `cbor:"3,keyasint"`
+	Closed Change `cbor:"4,keyasint"`
+	// Previous answers for the tenure before this one; its ID is empty if
+	// that is not known.
+	Previous state.Member `cbor:"5,keyasint"`
+	// Open is set until the shard passes to another owner.
+	Open bool `cbor:"6,keyasint"`
+	// Owner is the member whose tenure it is; a member that has taken it over
+	// at a planned stop acts for it.
+	Owner state.MemberID `cbor:"7,keyasint"`
+	// DeniedMS is the latest minting time that was refused as lying before
+	// the tenure; the range may not be lowered to include it.
+	DeniedMS int64 `cbor:"8,keyasint"`
+}
+
+func (t *Tenure) contains(mintedMS int64) bool {
+	return t.LowMS <= mintedMS && mintedMS < t.HighMS
+}
+
+// endMS is the minting time from which on neither this tenure nor an earlier
+// one grants.
+func (t *Tenure) endMS() int64 { return max(t.LowMS, t.HighMS) }
+
+func (t *Tenure) close(by Change) {
+	t.Open = false
+	t.Closed = by
+}
+
+// raise extends an open tenure after a confirmed contact.
+func (t *Tenure) raise(highMS int64) {
+	if t.Open {
+		t.HighMS = max(t.HighMS, highMS)
+	}
+}
+
+// lower starts the range at the end of the tenure before.
+func (t *Tenure) lower(endMS int64) {
+	t.LowMS = min(t.LowMS, max(endMS, t.DeniedMS+1))
+}
+
+// deny records that a key was refused as minted before the tenure.
+func (t *Tenure) deny(mintedMS int64) {
+	t.DeniedMS = max(t.DeniedMS, mintedMS)
+}
+
+// same reports whether two values describe the same tenure.
+func (t *Tenure) same(o *Tenure) bool {
+	if t.Owner != o.Owner || t.Opened != o.Opened {
+		return false
+	}
+	return t.Opened.known() || t.LowMS == o.LowMS
+}
