--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -9,15 +9,13 @@
 	"github.com/gooseberryflow/gooseberryflow/peer"
 )
 
-var thinChain = []string{"auth", "retry", "routing"}
-
 // TestWholePath sends one booking through a fleet: entry node, owner node,
 // upstream, nested calls through the owner node, and back.
 func TestWholePath(t *testing.T) {
 	d := Logistics()
 	fleet, err := Start(context.Background(), FleetOptions{
 		Deployment: d,
-		Chain:      thinChain,
+		Chain:      FullChain,
 		Carrier:    peer.CarrierTLS,
 		Seed:       1,
 		Logger:     slog.New(slog.DiscardHandler),
--- a/experiment/latency_test.go
+++ b/experiment/latency_test.go
@@ -48,7 +48,7 @@
 	for _, carrier := range carriers {
 		fleet, err := Start(context.Background(), FleetOptions{
 			Deployment: pairDeployment(),
-			Chain:      thinChain,
+			Chain:      FullChain,
 			Carrier:    carrier,
 			Logger:     slog.New(slog.DiscardHandler),
 		})
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -206,9 +206,6 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	if o.Plugins == nil {
-		o.Plugins = []string{"auth", "retry", "routing"}
-	}
 	if o.Platform == "" {
 		o.Platform = f.logServer.Listener.Addr().String()
 	}
