--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,11 +31,20 @@
 	log   *standin.Service
 	nodes []*testNode
 	// cut reports whether messages between two nodes are lost; nil means none.
-	cut   func(a, b *testNode) bool
+	cut func(a, b *testNode) bool
+	// mu guards the counts of messages, requests and answers alike.
+	mu    sync.Mutex
 	sent  map[string]int
 	bytes int
 }
 
+func (f *fleet) count(kind string, bytes int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent[kind]++
+	f.bytes += bytes
+}
+
 // testNode is one service with its ends of network and log.
 type testNode struct {
 	*Service
@@ -169,8 +179,7 @@
 // Request implements kernel.Peers.
 func (n *testNode) Request(ctx context.Context, to state.Member, kind string, body []byte) ([]byte, error) {
 	f := n.fleet
-	f.sent[kind]++
-	f.bytes += len(body)
+	f.count(kind, len(body))
 	for _, peer := range f.nodes {
 		if peer.member.ControlAddr != to.ControlAddr {
 			continue
@@ -179,7 +188,7 @@
 			return nil, errCut
 		}
 		answer, err := peer.handlers[kind](ctx, n.member.ID, body)
-		f.bytes += len(answer)
+		f.count(kind, len(answer))
 		return answer, err
 	}
 	return nil, errCut
