Membership: large domains learn the log's head from a few of their members

Cause: with every node reading the log, 1,100 nodes need 1,100 reads a second, or contacts get older than a claim holder's margin of 10 s. Ruled out: reading more rarely (contact too old); trusting a peer's contact (it may be older than a removal that the asker has not seen). Change: about 32 nodes of the fleet read the log each second; the others ask one of those in their failure domain every 4 s, which answers after a read that began after the request came. Requests that wait share a read.

--- a/membership/config_test.go
+++ b/membership/config_test.go
@@ -203,19 +203,33 @@
 	}
 }
 
+func TestAdoptedStateIsComparedWithTheLog(t *testing.T) {
+	f := newFleet(t, 13)
+	f.startAll(1, "west-a")
+	f.submit(f.nodes[0], "one", 0)
+	f.nodes[0].noLog = true
+	f.log.Rollback(streamName, f.logNext()-1)
+	f.appendRecord(state.WithdrawRecord{KeyIDs: []string{"other"}})
+	fresh := f.start("west-a", f.nodes[0])
+	if err := fresh.poll(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if s := fresh.Snapshot(); s.Version != 1 || !s.Withdrawn["other"] {
+		t.Fatalf("version %d, withdrawn %v", s.Version, s.Withdrawn)
+	}
+}
+
 func TestRewrittenLogIsNoticed(t *testing.T) {
 	f := newFleet(t, 6)
 	f.startAll(3, "west-a")
 	f.submit(f.nodes[0], "one", 0)
 	f.run(3 * time.Second)
-	// The log loses the change and grows past this offset while it is away.
+	// The log loses the change and gets another record in its place while away.
 	f.log.SetFaults(standin.Faults{Down: true})
 	f.run(2 * time.Second)
 	f.log.SetFaults(standin.Faults{})
 	f.log.Rollback(streamName, f.logNext()-1)
-	for range 3 {
-		f.appendRecord(state.WithdrawRecord{KeyIDs: []string{"other"}})
-	}
+	f.appendRecord(state.WithdrawRecord{KeyIDs: []string{"other"}})
 	f.run(30 * time.Second)
 	fresh := f.start("west-a")
 	_ = fresh.poll(context.Background())
--- a/membership/doc.go
+++ b/membership/doc.go
@@ -6,8 +6,11 @@
 //
 // # Algorithm
 //
-// Every node reads the head of the log at a jittered interval that grows with
-// the roster. Once a second it sends a digest (offset, hash of the last record,
+// In a small fleet every node reads the head of the log once a second. In a
+// large one, a fixed number of nodes does, ranked by rendezvous hashing in each
+// failure domain; the others ask one of them. It answers after a read of the
+// log that began after the request arrived, so that the asker's contact with
+// the log is as old as its request. Once a second it sends a digest (offset, hash of the last record,
 // version, hash of what it knows outside the log) to a random peer, mostly in
 // its own failure domain; the side that is behind gets the missing records
 // with their offsets, or the whole state if they are no longer kept. Records
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -59,6 +59,7 @@
 	due          [4]time.Time
 	version      uint64
 	offset       uint64
+	reads        int
 }
 
 func newFleet(t *testing.T, seed uint64) *fleet {
@@ -116,6 +117,7 @@
 		f.t.Fatal(err)
 	}
 	s.async = func(work func()) { work() }
+	s.heads.delay = func() {}
 	node.Service = s
 	f.nodes = append(f.nodes, node)
 	s.bootstrap(context.Background())
@@ -151,7 +153,7 @@
 func (n *testNode) work() {
 	ctx := context.Background()
 	steps := [4]func(){
-		func() { _ = n.poll(ctx) },
+		func() { n.readHead(ctx) },
 		func() { n.gossip(ctx) },
 		func() { n.upkeep(ctx) },
 		func() { n.probe(ctx) },
@@ -214,6 +216,7 @@
 	if n.noLog {
 		return platform.Page{}, errCut
 	}
+	n.reads++
 	return n.fleet.log.Stream(streamName).Read(ctx, from, limit)
 }
 
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -90,6 +90,7 @@
 	kernel.Answer(s.o.Peers, kindGossip, s.answerGossip)
 	kernel.Answer(s.o.Peers, kindPush, s.answerPush)
 	kernel.Answer(s.o.Peers, kindState, s.answerState)
+	kernel.Answer(s.o.Peers, kindHead, s.answerHead)
 }
 
 // gossip exchanges digests and news with one peer.
--- a/membership/options.go
+++ b/membership/options.go
@@ -14,8 +14,8 @@
 
 // Default intervals.
 const (
-	// DefaultPollInterval is the mean time between reads of the log's head in
-	// a small fleet; see pollInterval for larger ones.
+	// DefaultPollInterval is the mean time between reads of the log's head by
+	// a node that reads the log itself; see relays.
 	DefaultPollInterval = time.Second
 	// DefaultGossipInterval is the mean time between exchanges with a peer.
 	DefaultGossipInterval = time.Second
--- a/membership/poll.go
+++ b/membership/poll.go
@@ -17,12 +17,6 @@
 	pageRecords = 500
 	// maxPages bounds the pages read in one go.
 	maxPages = 10_000
-	// pollScale is the roster size up to which every node reads the log once
-	// each poll interval; beyond it the interval grows in proportion, so that
-	// the log serves about pollScale reads per interval.
-	pollScale = 32
-	// maxPollFactor bounds that growth.
-	maxPollFactor = 20
 )
 
 // errNoHead reports a log that grows faster than it is read.
@@ -35,14 +29,6 @@
 	failing bool
 }
 
-// pollInterval returns the time to the next read of the log.
-func (s *Service) pollInterval() time.Duration {
-	n := len(s.Snapshot().Members)
-	base := s.o.Intervals.Poll
-	scaled := base * time.Duration(n) / pollScale
-	return s.o.jitter(min(max(base, scaled), base*maxPollFactor))
-}
-
 // poll reads the log up to its head and applies what is new.
 func (s *Service) poll(ctx context.Context) error {
 	s.reader.mu.Lock()
--- a/membership/service.go
+++ b/membership/service.go
@@ -14,6 +14,8 @@
 	o        Options
 	snapshot atomic.Pointer[state.Snapshot]
 	reader   reader
+	// heads reads the log on behalf of members that don't.
+	heads batcher
 	// async runs work that must not hold up a message handler.
 	async func(f func())
 
@@ -52,6 +54,8 @@
 		detector: newDetector(o.Self, o.Intervals),
 		duties:   newDuties(o.Now(), o.Rand(), o.Intervals.Refresh),
 	}
+	s.heads.run = s.pollForOthers
+	s.heads.delay = func() { time.Sleep(batchDelay) }
 	s.publish()
 	s.registerHandlers()
 	return s, nil
@@ -65,7 +69,7 @@
 	s.bootstrap(ctx)
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	s.loop(ctx, &wg, s.pollInterval, func(ctx context.Context) { _ = s.poll(ctx) })
+	s.loop(ctx, &wg, s.pollInterval, s.readHead)
 	s.loop(ctx, &wg, s.gossipInterval, s.gossip)
 	s.loop(ctx, &wg, s.upkeepInterval, s.upkeep)
 	s.loop(ctx, &wg, s.probeInterval, s.probe)
