Membership: hearsay without sorting the roster; cost measured over a short refresh

Cause: each digest sorted all known positions (a quarter of the time of TestControlCost), and that test took half of the package's time under the race detector.

--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -32,6 +32,8 @@
 	nodes []*testNode
 	// cut reports whether messages between two nodes are lost; nil means none.
 	cut func(a, b *testNode) bool
+	// intervals are those of the nodes started from now on.
+	intervals Intervals
 	// mu guards the counts of messages, requests and answers alike.
 	mu    sync.Mutex
 	sent  map[string]int
@@ -112,6 +114,8 @@
 		Now:     func() time.Time { return f.now },
 		Rand:    f.rand.Uint64,
 		OnEnded: func() { node.ended = true },
+
+		Intervals: f.intervals,
 	})
 	if err != nil {
 		f.t.Fatal(err)
--- a/membership/status.go
+++ b/membership/status.go
@@ -99,12 +99,23 @@
 // hearsay returns the positions of some random members. It is called with mu
 // held.
 func (s *Service) hearsay(now time.Time) []hearsay {
-	ids := sortedIDs(s.heard)
+	snap := s.Snapshot()
+	domains := snap.Domains()
 	var picked []hearsay
-	for range min(hearsayLen, len(ids)) {
-		id := ids[s.o.Rand()%uint64(len(ids))]
-		h := s.heard[id]
-		picked = append(picked, hearsay{ID: id, Version: h.version, Offset: h.offset, AgeMS: now.Sub(h.at).Milliseconds()})
+	for range hearsayLen {
+		id, ok := s.randomMember(snap, domains)
+		if h, known := s.heard[id]; ok && known {
+			picked = append(picked, hearsay{ID: id, Version: h.version, Offset: h.offset, AgeMS: now.Sub(h.at).Milliseconds()})
+		}
 	}
 	return picked
 }
+
+// randomMember picks a failure domain, then a member of it.
+func (s *Service) randomMember(snap *state.Snapshot, domains []string) (state.MemberID, bool) {
+	if len(domains) == 0 {
+		return "", false
+	}
+	domain := snap.Domain(domains[s.o.Rand()%uint64(len(domains))])
+	return domain[s.o.Rand()%uint64(len(domain))].ID, true
+}
