Fault proxy: a reset reaches the client as RST

Cause: Reset closed the connection to the target first in some runs; the pump then ended the client's connection in the orderly way before its RST.

Ruled out: the test (a client must see RST, so EOF is a fault of the proxy).

Change: a connection that ends in any way but an orderly one makes the proxy end the other side with RST.

--- a/internal/faultproxy/tcp.go
+++ b/internal/faultproxy/tcp.go
@@ -1,7 +1,9 @@
 package faultproxy
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"time"
 )
@@ -25,8 +27,7 @@
 	defer p.mu.Unlock()
 	for c := range p.open {
 		if conn, ok := c.(*net.TCPConn); ok {
-			_ = conn.SetLinger(0)
-			conn.Close()
+			abort(conn)
 		}
 	}
 }
@@ -73,24 +74,37 @@
 // pump carries one direction of a connection.
 func (p *Proxy) pump(way Direction, from, to *net.TCPConn) {
 	queue := make(chan chunk, queueLen)
-	p.begin(func() { p.read(way, from, queue) })
+	ended := make(chan error, 1)
+	p.begin(func() { ended <- p.read(way, from, queue) })
 	for c := range queue {
 		open := p.sleep(time.Until(c.due)) && p.transmit(way, len(c.data)) && p.passable(way, blocked)
 		if !open {
 			break
 		}
 		if _, err := to.Write(c.data); err != nil {
-			from.Close()
+			abort(from)
 			break
 		}
 	}
-	_ = to.CloseWrite()
 	for range queue {
 		// The reader ends once its connection is closed.
 	}
+	if errors.Is(<-ended, io.EOF) {
+		_ = to.CloseWrite()
+		return
+	}
+	abort(to)
 }
 
-func (p *Proxy) read(way Direction, from *net.TCPConn, queue chan<- chunk) {
+// abort ends a connection with RST.
+func abort(conn *net.TCPConn) {
+	_ = conn.SetLinger(0)
+	conn.Close()
+}
+
+// read queues what it reads until the connection ends, and returns why it
+// has: io.EOF for an orderly end.
+func (p *Proxy) read(way Direction, from *net.TCPConn, queue chan<- chunk) error {
 	defer close(queue)
 	var last time.Time
 	buf := make([]byte, chunkBytes)
@@ -106,7 +120,7 @@
 			queue <- chunk{data: append([]byte(nil), buf[:n]...), due: due}
 		}
 		if err != nil {
-			return
+			return err
 		}
 	}
 }
