--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -17,10 +18,12 @@
 
 	"github.com/google/uuid"
 
+	"github.com/gooseberryflow/gooseberryflow/config"
 	"github.com/gooseberryflow/gooseberryflow/kernel"
 	"github.com/gooseberryflow/gooseberryflow/membership"
 	"github.com/gooseberryflow/gooseberryflow/peer"
 	"github.com/gooseberryflow/gooseberryflow/platform"
+	"github.com/gooseberryflow/gooseberryflow/report"
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
@@ -46,18 +49,24 @@
 	Service       string
 	FailureDomain string
 	// Addresses are IP:port; port 0 lets the kernel choose.
-	CallerAddr     string
-	ControlAddr    string
-	CallAddr       string
-	AdminAddr      string
-	UpstreamAddr   string
-	Identity       peer.Identity
-	Carrier        peer.Carrier
-	Plugins        []string
-	First          []string
-	OperatorTokens []string
-	BodyLimitBytes int64
-	StopTimeout    time.Duration
+	CallerAddr  string
+	ControlAddr string
+	CallAddr    string
+	AdminAddr   string
+	// Announced addresses are what other nodes connect to; empty ones are the
+	// bound ones.
+	AnnouncedControlAddr string
+	AnnouncedCallAddr    string
+	UpstreamAddr         string
+	Identity             peer.Identity
+	Carrier              peer.Carrier
+	Plugins              []string
+	First                []string
+	OperatorTokens       []string
+	BodyLimitBytes       int64
+	StopTimeout          time.Duration
+	// Intervals of the membership service; zero fields take the defaults.
+	Intervals membership.Intervals
 }
 
 // Node is one running node.
@@ -72,6 +81,7 @@
 	membership *membership.Service
 	upstream   *upstream
 	metrics    *metrics
+	recorder   *report.Recorder
 	log        *slog.Logger
 
 	callers     net.Listener
@@ -97,6 +107,7 @@
 	n := &Node{
 		settings: s,
 		metrics:  newMetrics(),
+		recorder: report.NewRecorder(),
 		log:      logger,
 		ended:    make(chan struct{}),
 	}
@@ -135,24 +146,30 @@
 	if n.admin, err = net.Listen("tcp", s.AdminAddr); err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
-	n.self.ControlAddr = n.network.ControlAddr()
-	n.self.CallAddr = n.network.CallAddr()
+	n.self.ControlAddr = cmp.Or(s.AnnouncedControlAddr, n.network.ControlAddr())
+	n.self.CallAddr = cmp.Or(s.AnnouncedCallAddr, n.network.CallAddr())
 	n.self.CallerAddr = n.callers.Addr().String()
 	return nil
 }
 
 // build makes the membership service, the host and the chains.
 func (n *Node) build(platformLog platform.Log) error {
-	n.membership = membership.New(membership.Options{
-		Self:    n.self,
-		Log:     platformLog,
-		Peers:   n.network,
-		First:   n.settings.First,
-		Now:     time.Now,
-		Rand:    rand.Uint64,
-		Logger:  n.log,
-		OnEnded: n.markEnded,
+	var err error
+	n.membership, err = membership.New(membership.Options{
+		Self:      n.self,
+		Log:       platformLog,
+		Peers:     n.network,
+		First:     n.settings.First,
+		Parse:     config.Parse,
+		Now:       time.Now,
+		Rand:      rand.Uint64,
+		Logger:    n.log,
+		Intervals: n.settings.Intervals,
+		OnEnded:   n.markEnded,
 	})
+	if err != nil {
+		return err
+	}
 	n.host = &kernel.Host{
 		Self:     n.self,
 		Now:      time.Now,
@@ -165,7 +182,6 @@
 		Go:       n.background.Go,
 	}
 	n.upstream = newUpstream(n.settings.UpstreamAddr, n.settings.BodyLimitBytes, n.host.Now, n.metrics)
-	var err error
 	if n.plugins, err = kernel.NewSet(n.host, n.settings.Plugins); err != nil {
 		return err
 	}
@@ -203,6 +219,15 @@
 // Snapshot returns the current state.
 func (n *Node) Snapshot() *state.Snapshot { return n.membership.Snapshot() }
 
+// Apply submits an operators' file based on the version in force.
+func (n *Node) Apply(ctx context.Context, file []byte) error {
+	r := n.membership.Submit(ctx, file, n.Snapshot().Version, uuid.NewString())
+	if r.Outcome != membership.SubmitAccepted {
+		return fmt.Errorf("configuration was not accepted: %s", r.Reason)
+	}
+	return nil
+}
+
 // Run serves until ctx ends, then stops as planned: new work is refused, every
 // call in flight finishes, state is handed over. It returns nil after a whole
 // stop, ErrEnded when the incarnation was ended, or what went wrong.
@@ -262,8 +287,8 @@
 	waitContext(limit, drainNotice)
 	n.stopping.Store(true)
 	left := n.awaitIdle(limit)
-	n.handOver()
 	err := n.callerHTTP.Shutdown(limit)
+	n.handOver()
 	n.Kill()
 	if left > 0 || err != nil {
 		return fmt.Errorf("stop limit passed with %d calls in flight: %w", left, context.DeadlineExceeded)
@@ -345,6 +370,13 @@
 	})
 }
 
-func (n *Node) observe(_ *kernel.Call, r *kernel.Result, _ time.Duration) {
+// observe feeds the counters. Only root requests count for the service-level
+// report: an error budget is spent once, however deep the failure lies.
+func (n *Node) observe(c *kernel.Call, r *kernel.Result, took time.Duration) {
 	n.metrics.count(r)
+	if c.Nested() || r.Reason == kernel.ReasonCancelled {
+		return
+	}
+	ok := r.Outcome == kernel.OutcomeAnswered && r.Status < http.StatusInternalServerError
+	n.recorder.Observe(c.Customer, c.RouteName, ok, took, n.host.Now())
 }
--- /dev/null
+++ b/ratelimit/differential_test.go
@@ -0,0 +1,173 @@
+package ratelimit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/config"
+)
+
+// comparison counts the verdicts of a fleet against those of one central
+// bucket on the same arrivals.
+type comparison struct {
+	arrivals int
+	// central and fleet count admissions.
+	central, fleet int
+	// wrong counts refusals of requests that the central bucket admits.
+	wrong int
+}
+
+// wrongShare is the share of the requests admitted by the central bucket that
+// the fleet refuses; shortfall is by how much its total is smaller.
+func (c comparison) wrongShare() float64 { return float64(c.wrong) / float64(max(1, c.central)) }
+func (c comparison) shortfall() float64 {
+	return float64(c.central-c.fleet) / float64(max(1, c.central))
+}
+
+// compare attaches a central bucket to the fleet; it counts from a time on.
+func (f *fleet) compare(c config.Customer, from time.Duration) *comparison {
+	central := &naiveBucket{}
+	result := &comparison{}
+	f.arrived = func(string) func(bool) {
+		ok := central.take(c.Rate, c.Burst, time.Unix(0, int64(f.now)))
+		if f.now < from {
+			return func(bool) {}
+		}
+		result.arrivals++
+		if ok {
+			result.central++
+		}
+		return func(admitted bool) {
+			if admitted {
+				result.fleet++
+			} else if ok {
+				result.wrong++
+			}
+		}
+	}
+	return result
+}
+
+// placement chooses the node of the next arrival.
+type placement struct {
+	name  string
+	where func(f *fleet) *simNode
+}
+
+var placements = []placement{
+	{"even", func(f *fleet) *simNode { return f.anyLive() }},
+	{"one node", func(f *fleet) *simNode { return f.nodes[0] }},
+	{"moving", func(f *fleet) *simNode { return f.nodes[int(f.now/(3*time.Second))*5%len(f.nodes)] }},
+}
+
+const (
+	warmUp    = 10 * time.Second
+	runLength = 40 * time.Second
+)
+
+// scenario is a demand on a fleet of three domains with four nodes each.
+type scenario struct {
+	customer config.Customer
+	// load is the demand in multiples of the customer's rate.
+	load      float64
+	placement placement
+	faults    func(*fleet)
+}
+
+// run sums the verdicts over a fixed list of seeds.
+func (s scenario) run(seeds int) comparison {
+	var sum comparison
+	for seed := range uint64(seeds) {
+		f := newFleet(seed, testDomains, 4, []config.Customer{s.customer})
+		s.faults(f)
+		result := f.compare(s.customer, warmUp)
+		f.arrivals(s.customer.Name, s.load*s.customer.Rate, runLength, func() *simNode { return s.placement.where(f) })
+		f.run(runLength + time.Second)
+		sum.arrivals += result.arrivals
+		sum.central += result.central
+		sum.fleet += result.fleet
+		sum.wrong += result.wrong
+	}
+	return sum
+}
+
+func noFaults(*fleet) {}
+
+// cutOff cuts every pair of failure domains, which leaves the fixed shares.
+func cutOff(f *fleet) {
+	for i, a := range testDomains {
+		for _, b := range testDomains[i+1:] {
+			f.cut[link(a, b)] = true
+		}
+	}
+}
+
+// staticParts decides by a bucket of 1/n of the rate at each node.
+func staticParts(f *fleet) {
+	c := f.config.Customers[0]
+	n := float64(len(f.nodes))
+	buckets := map[*simNode]*naiveBucket{}
+	for _, node := range f.nodes {
+		buckets[node] = &naiveBucket{}
+	}
+	f.decide = func(node *simNode) bool {
+		return buckets[node].take(c.Rate/n, max(1, c.Burst/n), time.Unix(0, int64(f.now)))
+	}
+}
+
+var comparedCustomers = []config.Customer{
+	{Name: "a", Rate: 100, Burst: 60},
+	{Name: "b", Rate: 1000, Burst: 300},
+	{Name: "c", Rate: 20, Burst: 20},
+}
+
+// TestWrongfulRefusals holds the fleet, without faults, to its targets against
+// one central bucket (docs/RATELIMIT.md): the share of admissible requests
+// that are refused, and above the rate the shortfall of the total.
+func TestWrongfulRefusals(t *testing.T) {
+	targets := []struct{ load, wrong, shortfall float64 }{
+		{0.5, 0.005, 0.005},
+		{0.9, 0.05, 0.05},
+		{1.5, 1, 0.05},
+	}
+	for _, c := range comparedCustomers {
+		for _, p := range placements {
+			for _, target := range targets {
+				got := scenario{c, target.load, p, noFaults}.run(2)
+				if got.wrongShare() > target.wrong || got.shortfall() > target.shortfall {
+					t.Errorf("seeds 0 and 1: rate %.0f, %s, load %.1f: %.2f %% refused wrongly, shortfall %.2f %%",
+						c.Rate, p.name, target.load, 100*got.wrongShare(), 100*got.shortfall())
+				}
+			}
+		}
+	}
+}
+
+// BenchmarkAgainstCentralBucket reports the share refused wrongly and the
+// shortfall of leased shares with lending, of fixed shares of the failure
+// domains, and of static parts of the nodes.
+func BenchmarkAgainstCentralBucket(b *testing.B) {
+	kinds := []struct {
+		name   string
+		faults func(*fleet)
+	}{{"lending", noFaults}, {"fixed", cutOff}, {"static", staticParts}}
+	for _, c := range comparedCustomers {
+		for _, p := range placements {
+			for _, load := range []float64{0.5, 0.9, 1.5, 5} {
+				for _, k := range kinds {
+					name := fmt.Sprintf("rate=%.0f/%s/load=%.1f/%s", c.Rate, p.name, load, k.name)
+					b.Run(name, func(b *testing.B) {
+						var got comparison
+						for range b.N {
+							got = scenario{c, load, p, k.faults}.run(4)
+						}
+						b.ReportMetric(100*got.wrongShare(), "%wrong")
+						b.ReportMetric(100*got.shortfall(), "%short")
+						b.ReportMetric(0, "ns/op")
+					})
+				}
+			}
+		}
+	}
+}
