--- a/settings/load.go
+++ b/settings/load.go
@@ -5,6 +5,8 @@
 	"crypto/x509"
 	"fmt"
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/gooseberryflow/gooseberryflow/internal/tomlfile"
@@ -29,7 +31,8 @@
 }
 
 // Load reads a settings file. Unknown keys are faults. The error is an *Error
-// for the first fault in the file.
+// for the first fault of a key in the file, else for the first absent key: an
+// absent key is often a misspelt one.
 func Load(file string, data []byte) (*Settings, error) {
 	doc := tomlfile.Parse(data)
 	s := &Settings{File: file}
@@ -41,10 +44,15 @@
 		s.TLS = readTLS(root.Table("tls"))
 		s.Operators = readOperators(root.Table("operators"))
 	}
-	for _, p := range doc.Problems() {
-		return nil, &Error{File: file, Line: p.Line, Key: p.Key, Reason: p.Reason}
+	problems := doc.Problems()
+	if len(problems) == 0 {
+		return s, nil
 	}
-	return s, nil
+	first := problems[0]
+	if i := slices.IndexFunc(problems, func(p tomlfile.Problem) bool { return doc.Present(p.Key) }); i >= 0 {
+		first = problems[i]
+	}
+	return nil, &Error{File: file, Line: first.Line, Key: first.Key, Reason: first.Reason}
 }
 
 func readPlatform(t *tomlfile.Table) Platform {
@@ -92,3 +100,15 @@
 	}
 	return Operators{Tokens: tokens}
 }
+
+// CheckPlugins returns an *Error if the settings name a plug-in that is not
+// among the known ones.
+func (s *Settings) CheckPlugins(known []string) error {
+	for _, name := range s.Node.Plugins {
+		if !slices.Contains(known, name) {
+			reason := fmt.Sprintf("no plug-in is named %q; there are %s", name, strings.Join(known, ", "))
+			return &Error{File: s.File, Key: "node.plugins", Reason: reason}
+		}
+	}
+	return nil
+}
