Rate limit: authority by fleet size; resignation; tests of tenure and leases

Cause: membership reads the log more rarely in a large fleet (every 20 s at 1100 members), where an owner with 3 s of authority would live on confirmations by its domain only; a resigning node could still act as owner when its successor starts.

Change: the authority after a read of the log grows from 3 to 30 s with the fleet, the successor waits for twice the fleet; the pools stop on Resign, which comes before the announcement.

--- a/ratelimit/doc.go
+++ b/ratelimit/doc.go
@@ -28,10 +28,11 @@
 // that it has.
 //
 // An owner acts while it knows that it has not been replaced (Tenure): for
-// Timing.Contact after a read of the log's head, or, while the log is away,
-// after a confirmation by three quarters of the domain's roster. A successor
-// first has a majority promise not to confirm its predecessors, then waits for
-// the predecessors' authority and leases to end, and starts with an empty pool.
+// Timing.contactTime after a read of the log's head, and, while the log is away,
+// for Timing.Confirmed after a confirmation by three quarters of the domain's
+// roster. A successor first has a majority promise not to confirm its
+// predecessors, then waits for the predecessors' authority and leases to end,
+// and starts with an empty pool. Meanwhile the other domains lend.
 //
 // # Limits
 //
@@ -48,6 +49,11 @@
 // members as the domain has were replaced on the log while the owner and three
 // quarters of its old roster could not read it, directly or by a peer.
 //
+// The time for which an owner may act grows with the size of the fleet, since
+// the log is read more rarely in a large one. The wait of a successor allows for
+// a fleet that was twice as large; more than half of the members must not end
+// within that time.
+//
 // A domain with less than one token of burst for it has no share of a customer
 // and borrows everything. Units: rates in requests per second, bursts in
 // requests.
--- /dev/null
+++ b/ratelimit/lease_test.go
@@ -0,0 +1,136 @@
+package ratelimit
+
+import (
+	"testing"
+	"time"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func TestLeaseEndsByTimeOfSending(t *testing.T) {
+	var l lease
+	answered := t0.Add(DefaultTiming.Lease - time.Millisecond)
+	l.replace(Grant{Seq: 1, Rate: 10, Burst: 5, Tokens: 5, DurationMS: 2000}, "o", DefaultTiming, t0, answered)
+	if !l.take(answered) {
+		t.Fatal("no token from a live lease")
+	}
+	if l.take(t0.Add(DefaultTiming.Lease)) {
+		t.Fatal("a token from a lease that has lapsed")
+	}
+	if l.take(answered) {
+		t.Fatal("a lapsed lease came back with the clock")
+	}
+	if l.seq != 1 {
+		t.Fatal("the lapsed lease forgot that its grant was taken up")
+	}
+}
+
+// TestLateAnswerShortensLease: the borrower counts from the sending of the ask.
+func TestLateAnswerShortensLease(t *testing.T) {
+	f := newFleet(1, []string{"d"}, 1, testCustomers)
+	n := f.nodes[0]
+	_, asks := n.entry.Arrive(n.snap, "large", t0)
+	if len(asks) != 1 {
+		t.Fatalf("%d asks, want 1", len(asks))
+	}
+	g := Grant{Seq: asks[0].Ask.Seq, Rate: 10, Burst: 5, Tokens: 5, DurationMS: 2000}
+	n.entry.Granted("d", "large", asks[0].To.ID, g, t0.Add(1900*time.Millisecond))
+	if d, _ := n.entry.Arrive(n.snap, "large", t0.Add(1950*time.Millisecond)); d.Verdict != Admit {
+		t.Fatal("no token from a live lease")
+	}
+	if d, _ := n.entry.Arrive(n.snap, "large", t0.Add(2*time.Second)); d.Verdict == Admit {
+		t.Fatal("a token later than the lease's length after the ask")
+	}
+}
+
+func TestGrantAfterItsEndIsVoid(t *testing.T) {
+	var l lease
+	l.replace(Grant{Seq: 1, Rate: 10, Burst: 5, Tokens: 5, DurationMS: 2000}, "o", DefaultTiming, t0, t0.Add(3*time.Second))
+	if l.take(t0.Add(3 * time.Second)) {
+		t.Fatal("a token from a grant that arrived after its end")
+	}
+}
+
+func TestLenderCountsLonger(t *testing.T) {
+	// The lender's clock may run 2 % faster than the borrower's.
+	l := NewLedger(DefaultTiming, Share{Rate: 100, Burst: 100}, t0)
+	now := t0.Add(time.Second)
+	g := l.Ask("b", true, Ask{Seq: 1, WantRate: 50, WantBurst: 20, Waiting: 1}, now)
+	if g.DurationMS == 0 {
+		t.Fatal("no lease")
+	}
+	end := time.Duration(float64(g.DurationMS)*1.02) * time.Millisecond
+	l.advance(now.Add(end))
+	if rate, burst := l.leased(); rate == 0 || burst == 0 {
+		t.Fatal("the lender no longer counts a lease that the borrower may be using")
+	}
+	l.advance(now.Add(2 * end))
+	if rate, burst := l.leased(); rate != 0 || burst != 0 {
+		t.Fatal("the lender counts the lease for ever")
+	}
+}
+
+func TestPausedAdmissionDoesNotStand(t *testing.T) {
+	d := Decision{Verdict: Admit, Until: t0.Add(time.Second)}
+	if !d.Stands(t0, t0.Add(time.Millisecond), DefaultTiming) {
+		t.Fatal("an admission does not stand without a pause")
+	}
+	if d.Stands(t0, t0.Add(DefaultTiming.Stall+time.Millisecond), DefaultTiming) {
+		t.Fatal("an admission stands after a pause")
+	}
+	if d.Stands(t0.Add(time.Second), t0.Add(time.Second), DefaultTiming) {
+		t.Fatal("an admission stands after the end of its lease")
+	}
+}
+
+func TestSharesSumToWhole(t *testing.T) {
+	domains := []string{"a", "b", "c", "d", "e", "f"}
+	for _, c := range append(testCustomers, comparedCustomers...) {
+		rate, burst := 0.0, 0.0
+		for _, d := range domains {
+			s := domainShare(c, domains, d)
+			if s.Burst > 0 && s.Burst < 1 {
+				t.Errorf("%s: a burst of %.2f admits nothing", c.Name, s.Burst)
+			}
+			rate += s.Rate
+			burst += s.Burst
+		}
+		if rate > c.Rate || rate < 0.99*c.Rate || burst != c.Burst {
+			t.Errorf("%s: shares sum to rate %.2f, burst %.0f", c.Name, rate, burst)
+		}
+	}
+}
+
+func BenchmarkDecisionWithLease(b *testing.B) {
+	f := newFleet(1, testDomains, 1, testCustomers)
+	n := f.nodes[0]
+	c := n.entry.customer("large")
+	c.follow(n.snap, n.member.Domain)
+	now := t0
+	g := Grant{Seq: 1, Rate: 1e9, Burst: 1e6, Tokens: 1e6, DurationMS: 1 << 31}
+	c.sources[0].lease.replace(g, "o", DefaultTiming, now, now)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		d, asks := n.entry.Arrive(n.snap, "large", now)
+		if d.Verdict != Admit || len(asks) > 0 {
+			b.Fatal("the lease ran out")
+		}
+	}
+}
+
+func BenchmarkDecisionParallel(b *testing.B) {
+	f := newFleet(1, testDomains, 1, testCustomers)
+	n := f.nodes[0]
+	c := n.entry.customer("large")
+	c.follow(n.snap, n.member.Domain)
+	g := Grant{Seq: 1, Rate: 1e9, Burst: 1e9, Tokens: 1e9, DurationMS: 1 << 31}
+	now := time.Now()
+	c.sources[0].lease.replace(g, "o", DefaultTiming, now, now)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			n.entry.Arrive(n.snap, "large", time.Now())
+		}
+	})
+}
--- a/ratelimit/plugin.go
+++ b/ratelimit/plugin.go
@@ -51,6 +51,10 @@
 // Cleanup has nothing to release; leases lapse by themselves.
 func (p *Plugin) Cleanup() error { return nil }
 
+// Resign stops the pools of this node before its end is announced: a successor
+// must not find them acting.
+func (p *Plugin) Resign(context.Context) { p.pools.Resign() }
+
 // Tick renews leases and keeps the tenure of pools.
 func (p *Plugin) Tick(now time.Time) {
 	snap := p.host.Snapshot()
@@ -172,7 +176,7 @@
 
 func (p *Plugin) sendPoll(o OutgoingPoll) {
 	p.host.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), p.timing.Contact/4)
+		ctx, cancel := context.WithTimeout(context.Background(), p.timing.Confirmed/4)
 		defer cancel()
 		answer, err := kernel.Ask[Poll, PollAnswer](ctx, p.host.Peers, o.To, kindPoll, o.Poll)
 		if err != nil {
--- a/ratelimit/pools.go
+++ b/ratelimit/pools.go
@@ -97,6 +97,9 @@
 	return p.tenure.Answer(poll, now)
 }
 
+// Resign ends all grants of this node for good.
+func (p *Pools) Resign() { p.tenure.Resign() }
+
 // PollAnswered takes in the answer to a poll.
 func (p *Pools) PollAnswered(from state.MemberID, a PollAnswer, now time.Time) {
 	p.tenure.Answered(from, a, now)
--- a/ratelimit/tenure.go
+++ b/ratelimit/tenure.go
@@ -10,12 +10,11 @@
 // Tenure decides from when and until when this node may act as the owner of a
 // pool of its failure domain, so that no two nodes do at once.
 //
-// The owner acts until its last contact plus Timing.Contact. A contact is a
-// read of the log's head, or, while the log is away, a confirmation by three
-// quarters of the domain's roster that they see the same roster. A successor
-// first has a majority of its roster promise not to confirm the old roster any
-// more, then waits until the authority and the leases of its predecessors have
-// ended.
+// The owner acts for a time after a read of the log's head, and, while the log
+// is away, for a time after three quarters of the domain's roster have confirmed
+// that they see the same roster. A successor first has a majority of its roster
+// promise not to confirm the old roster any more, then waits until the authority
+// and the leases of its predecessors have ended.
 type Tenure struct {
 	mu      sync.Mutex
 	self    state.MemberID
@@ -38,6 +37,7 @@
 	promises []promise
 	poll     pollRound
 	rounds   uint64
+	resigned bool
 }
 
 // handover is a change that has made this node the owner of a pool which
@@ -190,23 +190,34 @@
 // authority is the end of the time for which this node is known not to have
 // been replaced.
 func (t *Tenure) authority() time.Time {
-	contact := t.snap.Contact
-	if t.quorumAt.After(contact) {
-		contact = t.quorumAt
+	if t.resigned {
+		return time.Time{}
 	}
-	return contact.Add(t.timing.Contact)
+	contact := t.snap.Contact.Add(t.timing.contactTime(len(t.snap.Members)))
+	confirmed := t.quorumAt.Add(t.timing.Confirmed)
+	if confirmed.After(contact) {
+		return confirmed
+	}
+	return contact
+}
+
+// Resign ends the authority of this node for good.
+func (t *Tenure) Resign() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.resigned = true
 }
 
 // Tick drops completed takeovers and returns the polls to send.
 func (t *Tenure) Tick(now time.Time) []OutgoingPoll {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.snap == nil || len(t.owned) == 0 {
+	if t.snap == nil || t.resigned || len(t.owned) == 0 {
 		return nil
 	}
 	t.dropCompleted(now)
 	takeover := t.awaitsPromise()
-	if !takeover && now.Before(t.authority().Add(-t.timing.Contact*2/3)) {
+	if !takeover && now.Before(t.authority().Add(-t.timing.Confirmed/2)) {
 		return nil
 	}
 	if now.Sub(t.poll.sent) < t.pollInterval() && t.poll.takeover == takeover && t.poll.digest == t.digest {
@@ -215,12 +226,12 @@
 	return t.begin(takeover, now)
 }
 
-// pollInterval gives a confirmation three tries before the authority ends.
-func (t *Tenure) pollInterval() time.Duration { return t.timing.Contact / 4 }
+// pollInterval gives a confirmation two tries before the authority ends.
+func (t *Tenure) pollInterval() time.Duration { return t.timing.Confirmed / 4 }
 
 func (t *Tenure) dropCompleted(now time.Time) {
 	for customer, h := range t.handovers {
-		if !h.promised.IsZero() && !now.Before(h.promised.Add(t.timing.takeoverWait())) {
+		if !h.promised.IsZero() && !now.Before(h.promised.Add(t.timing.takeoverWait(len(t.snap.Members)))) {
 			delete(t.handovers, customer)
 		}
 	}
--- a/ratelimit/timing.go
+++ b/ratelimit/timing.go
@@ -8,9 +8,13 @@
 	Lease, Take time.Duration
 	// Renew is the age at which a lease is renewed.
 	Renew time.Duration
-	// Contact is how long an owner may act after its last contact with the
-	// log or with a quorum of its failure domain.
-	Contact time.Duration
+	// Contact is how long an owner may act after its last contact with the log
+	// in a fleet of up to contactScale members (see contactTime), MaxContact
+	// in a large one.
+	Contact, MaxContact time.Duration
+	// Confirmed is how long an owner may act after it has been confirmed by
+	// its failure domain.
+	Confirmed time.Duration
 	// AskTimeout is when an unanswered ask is given up.
 	AskTimeout time.Duration
 	// MinRetry and MaxRetry bound the pause between asks that got nothing.
@@ -31,6 +35,8 @@
 	Take:       50 * time.Millisecond,
 	Renew:      time.Second,
 	Contact:    3 * time.Second,
+	MaxContact: 30 * time.Second,
+	Confirmed:  3 * time.Second,
 	AskTimeout: 100 * time.Millisecond,
 	MinRetry:   20 * time.Millisecond,
 	MaxRetry:   time.Second,
@@ -46,9 +52,21 @@
 	return d/50 + 5*time.Millisecond
 }
 
-// takeoverWait is the time from the end of the previous owner's authority to
-// the first grant of the next: no lease of the previous owner outlives it.
-func (t Timing) takeoverWait() time.Duration {
-	d := t.Contact + t.Lease
+// contactScale is the number of members up to which the log is read about once
+// a second by each.
+const contactScale = 32
+
+// contactTime is how long an owner may act after its last contact with the log.
+// In larger fleets every node reads the log more rarely.
+func (t Timing) contactTime(members int) time.Duration {
+	scaled := t.Contact * time.Duration(members) / contactScale
+	return min(max(t.Contact, scaled), t.MaxContact)
+}
+
+// takeoverWait is the time from the promise of a majority to the first grant
+// of a new owner: until then the authority and the leases of its predecessors
+// have ended. A predecessor's fleet was at most twice as large.
+func (t Timing) takeoverWait(members int) time.Duration {
+	d := max(t.contactTime(2*members), t.Confirmed) + t.Lease
 	return d + driftAllowance(d)
 }
