--- a/admin/convert.go
+++ b/admin/convert.go
@@ -34,6 +34,24 @@
 	return out
 }
 
+// keyList returns the keys of a customer, or of all if it is nil.
+func keyList(snap *state.Snapshot, customer *string) *api.KeyList {
+	list := &api.KeyList{Keys: []*api.IssuedKey{}}
+	for id, k := range snap.Keys {
+		if customer == nil || *customer == k.Customer {
+			list.Keys = append(list.Keys, &api.IssuedKey{ID: id, Customer: k.Customer, Withdrawn: snap.Withdrawn[id]})
+		}
+	}
+	sort.Slice(list.Keys, func(i, j int) bool {
+		a, b := list.Keys[i], list.Keys[j]
+		if a.Customer != b.Customer {
+			return a.Customer < b.Customer
+		}
+		return a.ID < b.ID
+	})
+	return list
+}
+
 func fleetStatus(now time.Time, snap *state.Snapshot, st Status) *api.FleetStatus {
 	fleet := &api.FleetStatus{
 		Member:       string(st.Self),
--- a/admin/design/design.go
+++ b/admin/design/design.go
@@ -76,6 +76,20 @@
 		})
 	})
 
+	Method("list_keys", func() {
+		Description("The issued keys without their hashes.")
+		Payload(func() {
+			Extend(Credential)
+			Attribute("customer", String, "Only the keys of this customer")
+		})
+		Result(KeyList)
+		HTTP(func() {
+			GET("/keys")
+			Param("customer")
+			Response(StatusOK)
+		})
+	})
+
 	Method("issue_key", func() {
 		Description("Issues a key. The client makes the secret and sends its salted hash, so the secret never reaches a node; repeating the request is idempotent.")
 		Payload(KeyPayload)
--- a/admin/design/types.go
+++ b/admin/design/types.go
@@ -75,6 +75,20 @@
 	Required("id", "customer", "salt", "hash")
 })
 
+// KeyList is the issued keys.
+var KeyList = Type("KeyList", func() {
+	Attribute("keys", ArrayOf(IssuedKey), "The keys, ordered by customer and ID")
+	Required("keys")
+})
+
+// IssuedKey is a key as operators see it.
+var IssuedKey = Type("IssuedKey", func() {
+	Attribute("id", String, "ID of the key")
+	Attribute("customer", String, "Customer that the key belongs to")
+	Attribute("withdrawn", Boolean, "Whether the key is withdrawn")
+	Required("id", "customer", "withdrawn")
+})
+
 // WithdrawResult tells whether the withdrawn key was known.
 var WithdrawResult = Type("WithdrawResult", func() {
 	Attribute("known", Boolean, "Whether the node had heard of the key before")
--- a/admin/gen/admin/client.go
+++ b/admin/gen/admin/client.go
@@ -18,6 +18,7 @@
 	GetConfigEndpoint   goa.Endpoint
 	ApplyEndpoint       goa.Endpoint
 	GetChangeEndpoint   goa.Endpoint
+	ListKeysEndpoint    goa.Endpoint
 	IssueKeyEndpoint    goa.Endpoint
 	WithdrawKeyEndpoint goa.Endpoint
 	StatusEndpoint      goa.Endpoint
@@ -28,11 +29,12 @@
 }
 
 // NewClient initializes a "admin" service client given the endpoints.
-func NewClient(getConfig, apply, getChange, issueKey, withdrawKey, status, drain, remove, reportBurn, health goa.Endpoint) *Client {
+func NewClient(getConfig, apply, getChange, listKeys, issueKey, withdrawKey, status, drain, remove, reportBurn, health goa.Endpoint) *Client {
 	return &Client{
 		GetConfigEndpoint:   getConfig,
 		ApplyEndpoint:       apply,
 		GetChangeEndpoint:   getChange,
+		ListKeysEndpoint:    listKeys,
 		IssueKeyEndpoint:    issueKey,
 		WithdrawKeyEndpoint: withdrawKey,
 		StatusEndpoint:      status,
@@ -94,6 +96,23 @@
 	return ires.(*ChangeResult), nil
 }
 
+// ListKeys calls the "list_keys" endpoint of the "admin" service.
+// ListKeys may return the following errors:
+//   - "unauthorized" (type *goa.ServiceError): The operator's token is missing or wrong.
+//   - "invalid" (type *goa.ServiceError): The request is invalid; nothing was changed.
+//   - "not_found" (type *goa.ServiceError): There is no such item; nothing was changed.
+//   - "unavailable" (type *goa.ServiceError): The change was not made.
+//   - "unknown_outcome" (type *goa.ServiceError): The change may have been made; it is safe to ask again.
+//   - error: internal error
+func (c *Client) ListKeys(ctx context.Context, p *ListKeysPayload) (res *KeyList, err error) {
+	var ires any
+	ires, err = c.ListKeysEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*KeyList), nil
+}
+
 // IssueKey calls the "issue_key" endpoint of the "admin" service.
 // IssueKey may return the following errors:
 //   - "unauthorized" (type *goa.ServiceError): The operator's token is missing or wrong.
--- a/admin/gen/admin/endpoints.go
+++ b/admin/gen/admin/endpoints.go
@@ -19,6 +19,7 @@
 	GetConfig   goa.Endpoint
 	Apply       goa.Endpoint
 	GetChange   goa.Endpoint
+	ListKeys    goa.Endpoint
 	IssueKey    goa.Endpoint
 	WithdrawKey goa.Endpoint
 	Status      goa.Endpoint
@@ -36,6 +37,7 @@
 		GetConfig:   NewGetConfigEndpoint(s, a.JWTAuth),
 		Apply:       NewApplyEndpoint(s, a.JWTAuth),
 		GetChange:   NewGetChangeEndpoint(s, a.JWTAuth),
+		ListKeys:    NewListKeysEndpoint(s, a.JWTAuth),
 		IssueKey:    NewIssueKeyEndpoint(s, a.JWTAuth),
 		WithdrawKey: NewWithdrawKeyEndpoint(s, a.JWTAuth),
 		Status:      NewStatusEndpoint(s, a.JWTAuth),
@@ -51,6 +53,7 @@
 	e.GetConfig = m(e.GetConfig)
 	e.Apply = m(e.Apply)
 	e.GetChange = m(e.GetChange)
+	e.ListKeys = m(e.ListKeys)
 	e.IssueKey = m(e.IssueKey)
 	e.WithdrawKey = m(e.WithdrawKey)
 	e.Status = m(e.Status)
@@ -129,6 +132,29 @@
 	}
 }
 
+// NewListKeysEndpoint returns an endpoint function that calls the method
+// "list_keys" of service "admin".
+func NewListKeysEndpoint(s Service, authJWTFn security.AuthJWTFunc) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*ListKeysPayload)
+		var err error
+		sc := security.JWTScheme{
+			Name:           "operator",
+			Scopes:         []string{},
+			RequiredScopes: []string{},
+		}
+		var token string
+		if p.Token != nil {
+			token = *p.Token
+		}
+		ctx, err = authJWTFn(ctx, token, &sc)
+		if err != nil {
+			return nil, err
+		}
+		return s.ListKeys(ctx, p)
+	}
+}
+
 // NewIssueKeyEndpoint returns an endpoint function that calls the method
 // "issue_key" of service "admin".
 func NewIssueKeyEndpoint(s Service, authJWTFn security.AuthJWTFunc) goa.Endpoint {
--- a/admin/gen/admin/service.go
+++ b/admin/gen/admin/service.go
@@ -23,6 +23,8 @@
 	Apply(context.Context, *ApplyPayload) (res *ChangeResult, err error)
 	// Reads the outcome of a change back from the log by its change ID.
 	GetChange(context.Context, *GetChangePayload) (res *ChangeResult, err error)
+	// The issued keys without their hashes.
+	ListKeys(context.Context, *ListKeysPayload) (res *KeyList, err error)
 	// Issues a key. The client makes the secret and sends its salted hash, so the
 	// secret never reaches a node; repeating the request is idempotent.
 	IssueKey(context.Context, *KeyPayload) (err error)
@@ -62,7 +64,7 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [10]string{"get_config", "apply", "get_change", "issue_key", "withdraw_key", "status", "drain", "remove", "report_burn", "health"}
+var MethodNames = [11]string{"get_config", "apply", "get_change", "list_keys", "issue_key", "withdraw_key", "status", "drain", "remove", "report_burn", "health"}
 
 // ApplyPayload is the payload type of the admin service apply method.
 type ApplyPayload struct {
@@ -200,6 +202,21 @@
 	Token *string
 }
 
+type IssuedKey struct {
+	// ID of the key
+	ID string
+	// Customer that the key belongs to
+	Customer string
+	// Whether the key is withdrawn
+	Withdrawn bool
+}
+
+// KeyList is the result type of the admin service list_keys method.
+type KeyList struct {
+	// The keys, ordered by customer and ID
+	Keys []*IssuedKey
+}
+
 // KeyPayload is the payload type of the admin service issue_key method.
 type KeyPayload struct {
 	// ID of the key, chosen by the client
@@ -214,6 +231,14 @@
 	Token *string
 }
 
+// ListKeysPayload is the payload type of the admin service list_keys method.
+type ListKeysPayload struct {
+	// Only the keys of this customer
+	Customer *string
+	// The operator's bearer token
+	Token *string
+}
+
 type MemberStatus struct {
 	// ID of the member
 	ID string
--- a/admin/gen/http/admin/client/cli.go
+++ b/admin/gen/http/admin/client/cli.go
@@ -39,7 +39,7 @@
 	{
 		err = json.Unmarshal([]byte(adminApplyBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base_version\": 710026787063270516,\n      \"change_id\": \"tVt5Fq2bv\",\n      \"dry_run\": false,\n      \"file\": \"evz\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base_version\": 2402267226355829446,\n      \"change_id\": \"4jr4gXvxXHYAI\",\n      \"dry_run\": false,\n      \"file\": \"iwb\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.File) > 524288 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.file", body.File, utf8.RuneCountInString(body.File), 524288, false))
@@ -97,6 +97,28 @@
 	return v, nil
 }
 
+// BuildListKeysPayload builds the payload for the admin list_keys endpoint
+// from CLI flags.
+func BuildListKeysPayload(adminListKeysCustomer string, adminListKeysToken string) (*admin.ListKeysPayload, error) {
+	var customer *string
+	{
+		if adminListKeysCustomer != "" {
+			customer = &adminListKeysCustomer
+		}
+	}
+	var token *string
+	{
+		if adminListKeysToken != "" {
+			token = &adminListKeysToken
+		}
+	}
+	v := &admin.ListKeysPayload{}
+	v.Customer = customer
+	v.Token = token
+
+	return v, nil
+}
+
 // BuildIssueKeyPayload builds the payload for the admin issue_key endpoint
 // from CLI flags.
 func BuildIssueKeyPayload(adminIssueKeyBody string, adminIssueKeyToken string) (*admin.KeyPayload, error) {
@@ -105,7 +127,7 @@
 	{
 		err = json.Unmarshal([]byte(adminIssueKeyBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"customer\": \"Error dolore porro perspiciatis.\",\n      \"hash\": \"25c63140f9d4c11c07e33ccde10100d54464a18deb8c9302e13a7aeec8e9fbe5\",\n      \"id\": \"tsnjnys5\",\n      \"salt\": \"d5fb1a8bb89c0bd2515e5c453c694da3\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"customer\": \"Ipsam sequi nihil amet quis est exercitationem.\",\n      \"hash\": \"1d723d5f25c6e72295b971350a8aa9b24846a6e601ba1faf9aea95217f456f41\",\n      \"id\": \"0tbki21fnq4i\",\n      \"salt\": \"a5e2c9702ec89bcab78978d2076828ce\"\n   }'")
 		}
 		err = goa.MergeErrors(err, goa.ValidatePattern("body.id", body.ID, "^[a-z0-9]{8,40}$"))
 		err = goa.MergeErrors(err, goa.ValidatePattern("body.salt", body.Salt, "^[0-9a-f]{32}$"))
@@ -179,7 +201,7 @@
 	{
 		err = json.Unmarshal([]byte(adminDrainBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"on\": true\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"on\": false\n   }'")
 		}
 	}
 	var id string
--- a/admin/gen/http/admin/client/client.go
+++ b/admin/gen/http/admin/client/client.go
@@ -28,6 +28,10 @@
 	// endpoint.
 	GetChangeDoer goahttp.Doer
 
+	// ListKeys Doer is the HTTP client used to make requests to the list_keys
+	// endpoint.
+	ListKeysDoer goahttp.Doer
+
 	// IssueKey Doer is the HTTP client used to make requests to the issue_key
 	// endpoint.
 	IssueKeyDoer goahttp.Doer
@@ -75,6 +79,7 @@
 		GetConfigDoer:       doer,
 		ApplyDoer:           doer,
 		GetChangeDoer:       doer,
+		ListKeysDoer:        doer,
 		IssueKeyDoer:        doer,
 		WithdrawKeyDoer:     doer,
 		StatusDoer:          doer,
@@ -162,6 +167,30 @@
 	}
 }
 
+// ListKeys returns an endpoint that makes HTTP requests to the admin service
+// list_keys server.
+func (c *Client) ListKeys() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeListKeysRequest(c.encoder)
+		decodeResponse = DecodeListKeysResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildListKeysRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.ListKeysDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("admin", "list_keys", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
 // IssueKey returns an endpoint that makes HTTP requests to the admin service
 // issue_key server.
 func (c *Client) IssueKey() goa.Endpoint {
--- a/admin/gen/http/admin/client/encode_decode.go
+++ b/admin/gen/http/admin/client/encode_decode.go
@@ -553,6 +553,163 @@
 	}
 }
 
+// BuildListKeysRequest instantiates a HTTP request object with method and path
+// set to call the "admin" service "list_keys" endpoint
+func (c *Client) BuildListKeysRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ListKeysAdminPath()}
+	req, err := http.NewRequest("GET", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("admin", "list_keys", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeListKeysRequest returns an encoder for requests sent to the admin
+// list_keys server.
+func EncodeListKeysRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*admin.ListKeysPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("admin", "list_keys", "*admin.ListKeysPayload", v)
+		}
+		if p.Token != nil {
+			head := *p.Token
+			if !strings.Contains(head, " ") {
+				req.Header.Set("Authorization", "Bearer "+head)
+			} else {
+				req.Header.Set("Authorization", head)
+			}
+		}
+		values := req.URL.Query()
+		if p.Customer != nil {
+			values.Add("customer", *p.Customer)
+		}
+		req.URL.RawQuery = values.Encode()
+		return nil
+	}
+}
+
+// DecodeListKeysResponse returns a decoder for responses returned by the admin
+// list_keys endpoint. restoreBody controls whether the response body should be
+// restored after having been read.
+// DecodeListKeysResponse may return the following errors:
+//   - "unauthorized" (type *goa.ServiceError): http.StatusUnauthorized
+//   - "invalid" (type *goa.ServiceError): http.StatusBadRequest
+//   - "not_found" (type *goa.ServiceError): http.StatusNotFound
+//   - "unavailable" (type *goa.ServiceError): http.StatusServiceUnavailable
+//   - "unknown_outcome" (type *goa.ServiceError): http.StatusGatewayTimeout
+//   - error: internal error
+func DecodeListKeysResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body ListKeysResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("admin", "list_keys", err)
+			}
+			err = ValidateListKeysResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "list_keys", err)
+			}
+			res := NewListKeysKeyListOK(&body)
+			return res, nil
+		case http.StatusUnauthorized:
+			var (
+				body ListKeysUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("admin", "list_keys", err)
+			}
+			err = ValidateListKeysUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "list_keys", err)
+			}
+			return nil, NewListKeysUnauthorized(&body)
+		case http.StatusBadRequest:
+			var (
+				body ListKeysInvalidResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("admin", "list_keys", err)
+			}
+			err = ValidateListKeysInvalidResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "list_keys", err)
+			}
+			return nil, NewListKeysInvalid(&body)
+		case http.StatusNotFound:
+			var (
+				body ListKeysNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("admin", "list_keys", err)
+			}
+			err = ValidateListKeysNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "list_keys", err)
+			}
+			return nil, NewListKeysNotFound(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body ListKeysUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("admin", "list_keys", err)
+			}
+			err = ValidateListKeysUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "list_keys", err)
+			}
+			return nil, NewListKeysUnavailable(&body)
+		case http.StatusGatewayTimeout:
+			var (
+				body ListKeysUnknownOutcomeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("admin", "list_keys", err)
+			}
+			err = ValidateListKeysUnknownOutcomeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("admin", "list_keys", err)
+			}
+			return nil, NewListKeysUnknownOutcome(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("admin", "list_keys", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // BuildIssueKeyRequest instantiates a HTTP request object with method and path
 // set to call the "admin" service "issue_key" endpoint
 func (c *Client) BuildIssueKeyRequest(ctx context.Context, v any) (*http.Request, error) {
@@ -1630,6 +1787,18 @@
 	return res
 }
 
+// unmarshalIssuedKeyResponseBodyToAdminIssuedKey builds a value of type
+// *admin.IssuedKey from a value of type *IssuedKeyResponseBody.
+func unmarshalIssuedKeyResponseBodyToAdminIssuedKey(v *IssuedKeyResponseBody) *admin.IssuedKey {
+	res := &admin.IssuedKey{
+		ID:        *v.ID,
+		Customer:  *v.Customer,
+		Withdrawn: *v.Withdrawn,
+	}
+
+	return res
+}
+
 // unmarshalMemberStatusResponseBodyToAdminMemberStatus builds a value of type
 // *admin.MemberStatus from a value of type *MemberStatusResponseBody.
 func unmarshalMemberStatusResponseBodyToAdminMemberStatus(v *MemberStatusResponseBody) *admin.MemberStatus {
--- a/admin/gen/http/admin/client/paths.go
+++ b/admin/gen/http/admin/client/paths.go
@@ -26,6 +26,11 @@
 	return fmt.Sprintf("/v1/changes/%v", changeID)
 }
 
+// ListKeysAdminPath returns the URL path to the admin service list_keys HTTP endpoint.
+func ListKeysAdminPath() string {
+	return "/v1/keys"
+}
+
 // IssueKeyAdminPath returns the URL path to the admin service issue_key HTTP endpoint.
 func IssueKeyAdminPath() string {
 	return "/v1/keys"
--- a/admin/gen/http/admin/client/types.go
+++ b/admin/gen/http/admin/client/types.go
@@ -158,6 +158,13 @@
 	Changes []*ConfigChangeResponseBody `form:"changes,omitempty" json:"changes,omitempty" xml:"changes,omitempty"`
 }
 
+// ListKeysResponseBody is the type of the "admin" service "list_keys" endpoint
+// HTTP response body.
+type ListKeysResponseBody struct {
+	// The keys, ordered by customer and ID
+	Keys []*IssuedKeyResponseBody `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
+}
+
 // WithdrawKeyResponseBody is the type of the "admin" service "withdraw_key"
 // endpoint HTTP response body.
 type WithdrawKeyResponseBody struct {
@@ -476,6 +483,96 @@
 	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
 }
 
+// ListKeysUnauthorizedResponseBody is the type of the "admin" service
+// "list_keys" endpoint HTTP response body for the "unauthorized" error.
+type ListKeysUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// ListKeysInvalidResponseBody is the type of the "admin" service "list_keys"
+// endpoint HTTP response body for the "invalid" error.
+type ListKeysInvalidResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// ListKeysNotFoundResponseBody is the type of the "admin" service "list_keys"
+// endpoint HTTP response body for the "not_found" error.
+type ListKeysNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// ListKeysUnavailableResponseBody is the type of the "admin" service
+// "list_keys" endpoint HTTP response body for the "unavailable" error.
+type ListKeysUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// ListKeysUnknownOutcomeResponseBody is the type of the "admin" service
+// "list_keys" endpoint HTTP response body for the "unknown_outcome" error.
+type ListKeysUnknownOutcomeResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
 // IssueKeyUnauthorizedResponseBody is the type of the "admin" service
 // "issue_key" endpoint HTTP response body for the "unauthorized" error.
 type IssueKeyUnauthorizedResponseBody struct {
@@ -1128,6 +1225,16 @@
 	Fields []string `form:"fields,omitempty" json:"fields,omitempty" xml:"fields,omitempty"`
 }
 
+// IssuedKeyResponseBody is used to define fields on response body types.
+type IssuedKeyResponseBody struct {
+	// ID of the key
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Customer that the key belongs to
+	Customer *string `form:"customer,omitempty" json:"customer,omitempty" xml:"customer,omitempty"`
+	// Whether the key is withdrawn
+	Withdrawn *bool `form:"withdrawn,omitempty" json:"withdrawn,omitempty" xml:"withdrawn,omitempty"`
+}
+
 // MemberStatusResponseBody is used to define fields on response body types.
 type MemberStatusResponseBody struct {
 	// ID of the member
@@ -1651,6 +1758,96 @@
 	return v
 }
 
+// NewListKeysKeyListOK builds a "admin" service "list_keys" endpoint result
+// from a HTTP "OK" response.
+func NewListKeysKeyListOK(body *ListKeysResponseBody) *admin.KeyList {
+	v := &admin.KeyList{}
+	v.Keys = make([]*admin.IssuedKey, len(body.Keys))
+	for i, val := range body.Keys {
+		if val == nil {
+			v.Keys[i] = nil
+			continue
+		}
+		v.Keys[i] = unmarshalIssuedKeyResponseBodyToAdminIssuedKey(val)
+	}
+
+	return v
+}
+
+// NewListKeysUnauthorized builds a admin service list_keys endpoint
+// unauthorized error.
+func NewListKeysUnauthorized(body *ListKeysUnauthorizedResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewListKeysInvalid builds a admin service list_keys endpoint invalid error.
+func NewListKeysInvalid(body *ListKeysInvalidResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewListKeysNotFound builds a admin service list_keys endpoint not_found
+// error.
+func NewListKeysNotFound(body *ListKeysNotFoundResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewListKeysUnavailable builds a admin service list_keys endpoint unavailable
+// error.
+func NewListKeysUnavailable(body *ListKeysUnavailableResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewListKeysUnknownOutcome builds a admin service list_keys endpoint
+// unknown_outcome error.
+func NewListKeysUnknownOutcome(body *ListKeysUnknownOutcomeResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
 // NewIssueKeyUnauthorized builds a admin service issue_key endpoint
 // unauthorized error.
 func NewIssueKeyUnauthorized(body *IssueKeyUnauthorizedResponseBody) *goa.ServiceError {
@@ -2449,6 +2646,22 @@
 	return
 }
 
+// ValidateListKeysResponseBody runs the validations defined on
+// list_keys_response_body
+func ValidateListKeysResponseBody(body *ListKeysResponseBody) (err error) {
+	if body.Keys == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("keys", "body"))
+	}
+	for _, e := range body.Keys {
+		if e != nil {
+			if err2 := ValidateIssuedKeyResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateWithdrawKeyResponseBody runs the validations defined on
 // withdraw_key_response_body
 func ValidateWithdrawKeyResponseBody(body *WithdrawKeyResponseBody) (err error) {
@@ -2892,6 +3105,126 @@
 	return
 }
 
+// ValidateListKeysUnauthorizedResponseBody runs the validations defined on
+// list_keys_unauthorized_response_body
+func ValidateListKeysUnauthorizedResponseBody(body *ListKeysUnauthorizedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateListKeysInvalidResponseBody runs the validations defined on
+// list_keys_invalid_response_body
+func ValidateListKeysInvalidResponseBody(body *ListKeysInvalidResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateListKeysNotFoundResponseBody runs the validations defined on
+// list_keys_not_found_response_body
+func ValidateListKeysNotFoundResponseBody(body *ListKeysNotFoundResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateListKeysUnavailableResponseBody runs the validations defined on
+// list_keys_unavailable_response_body
+func ValidateListKeysUnavailableResponseBody(body *ListKeysUnavailableResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateListKeysUnknownOutcomeResponseBody runs the validations defined on
+// list_keys_unknown_outcome_response_body
+func ValidateListKeysUnknownOutcomeResponseBody(body *ListKeysUnknownOutcomeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
 // ValidateIssueKeyUnauthorizedResponseBody runs the validations defined on
 // issue_key_unauthorized_response_body
 func ValidateIssueKeyUnauthorizedResponseBody(body *IssueKeyUnauthorizedResponseBody) (err error) {
@@ -3770,6 +4103,21 @@
 	return
 }
 
+// ValidateIssuedKeyResponseBody runs the validations defined on
+// IssuedKeyResponseBody
+func ValidateIssuedKeyResponseBody(body *IssuedKeyResponseBody) (err error) {
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Customer == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("customer", "body"))
+	}
+	if body.Withdrawn == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("withdrawn", "body"))
+	}
+	return
+}
+
 // ValidateMemberStatusResponseBody runs the validations defined on
 // MemberStatusResponseBody
 func ValidateMemberStatusResponseBody(body *MemberStatusResponseBody) (err error) {
--- a/admin/gen/http/admin/server/encode_decode.go
+++ b/admin/gen/http/admin/server/encode_decode.go
@@ -426,6 +426,129 @@
 	}
 }
 
+// EncodeListKeysResponse returns an encoder for responses returned by the
+// admin list_keys endpoint.
+func EncodeListKeysResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*admin.KeyList)
+		enc := encoder(ctx, w)
+		body := NewListKeysResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeListKeysRequest returns a decoder for requests sent to the admin
+// list_keys endpoint.
+func DecodeListKeysRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*admin.ListKeysPayload, error) {
+	return func(r *http.Request) (*admin.ListKeysPayload, error) {
+		var payload *admin.ListKeysPayload
+		var (
+			customer *string
+			token    *string
+		)
+		customerRaw := r.URL.Query().Get("customer")
+		if customerRaw != "" {
+			customer = &customerRaw
+		}
+		tokenRaw := r.Header.Get("Authorization")
+		if tokenRaw != "" {
+			token = &tokenRaw
+		}
+		payload = NewListKeysPayload(customer, token)
+		if payload.Token != nil {
+			if strings.Contains(*payload.Token, " ") {
+				// Remove authorization scheme prefix (e.g. "Bearer")
+				cred := strings.SplitN(*payload.Token, " ", 2)[1]
+				payload.Token = &cred
+			}
+		}
+
+		return payload, nil
+	}
+}
+
+// EncodeListKeysError returns an encoder for errors returned by the list_keys
+// admin endpoint.
+func EncodeListKeysError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "unauthorized":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewListKeysUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "invalid":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewListKeysInvalidResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "not_found":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewListKeysNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewListKeysUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "unknown_outcome":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewListKeysUnknownOutcomeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // EncodeIssueKeyResponse returns an encoder for responses returned by the
 // admin issue_key endpoint.
 func EncodeIssueKeyResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
@@ -1322,6 +1445,18 @@
 	return res
 }
 
+// marshalAdminIssuedKeyToIssuedKeyResponseBody builds a value of type
+// *IssuedKeyResponseBody from a value of type *admin.IssuedKey.
+func marshalAdminIssuedKeyToIssuedKeyResponseBody(v *admin.IssuedKey) *IssuedKeyResponseBody {
+	res := &IssuedKeyResponseBody{
+		ID:        v.ID,
+		Customer:  v.Customer,
+		Withdrawn: v.Withdrawn,
+	}
+
+	return res
+}
+
 // marshalAdminMemberStatusToMemberStatusResponseBody builds a value of type
 // *MemberStatusResponseBody from a value of type *admin.MemberStatus.
 func marshalAdminMemberStatusToMemberStatusResponseBody(v *admin.MemberStatus) *MemberStatusResponseBody {
--- a/admin/gen/http/admin/server/server.go
+++ b/admin/gen/http/admin/server/server.go
@@ -22,6 +22,7 @@
 	GetConfig   http.Handler
 	Apply       http.Handler
 	GetChange   http.Handler
+	ListKeys    http.Handler
 	IssueKey    http.Handler
 	WithdrawKey http.Handler
 	Status      http.Handler
@@ -61,6 +62,7 @@
 			{"GetConfig", "GET", "/v1/config"},
 			{"Apply", "POST", "/v1/config"},
 			{"GetChange", "GET", "/v1/changes/{change_id}"},
+			{"ListKeys", "GET", "/v1/keys"},
 			{"IssueKey", "POST", "/v1/keys"},
 			{"WithdrawKey", "DELETE", "/v1/keys/{id}"},
 			{"Status", "GET", "/v1/status"},
@@ -72,6 +74,7 @@
 		GetConfig:   NewGetConfigHandler(e.GetConfig, mux, decoder, encoder, errhandler, formatter),
 		Apply:       NewApplyHandler(e.Apply, mux, decoder, encoder, errhandler, formatter),
 		GetChange:   NewGetChangeHandler(e.GetChange, mux, decoder, encoder, errhandler, formatter),
+		ListKeys:    NewListKeysHandler(e.ListKeys, mux, decoder, encoder, errhandler, formatter),
 		IssueKey:    NewIssueKeyHandler(e.IssueKey, mux, decoder, encoder, errhandler, formatter),
 		WithdrawKey: NewWithdrawKeyHandler(e.WithdrawKey, mux, decoder, encoder, errhandler, formatter),
 		Status:      NewStatusHandler(e.Status, mux, decoder, encoder, errhandler, formatter),
@@ -90,6 +93,7 @@
 	s.GetConfig = m(s.GetConfig)
 	s.Apply = m(s.Apply)
 	s.GetChange = m(s.GetChange)
+	s.ListKeys = m(s.ListKeys)
 	s.IssueKey = m(s.IssueKey)
 	s.WithdrawKey = m(s.WithdrawKey)
 	s.Status = m(s.Status)
@@ -107,6 +111,7 @@
 	MountGetConfigHandler(mux, h.GetConfig)
 	MountApplyHandler(mux, h.Apply)
 	MountGetChangeHandler(mux, h.GetChange)
+	MountListKeysHandler(mux, h.ListKeys)
 	MountIssueKeyHandler(mux, h.IssueKey)
 	MountWithdrawKeyHandler(mux, h.WithdrawKey)
 	MountStatusHandler(mux, h.Status)
@@ -280,6 +285,59 @@
 	})
 }
 
+// MountListKeysHandler configures the mux to serve the "admin" service
+// "list_keys" endpoint.
+func MountListKeysHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("GET", "/v1/keys", f)
+}
+
+// NewListKeysHandler creates a HTTP handler which loads the HTTP request and
+// calls the "admin" service "list_keys" endpoint.
+func NewListKeysHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeListKeysRequest(mux, decoder)
+		encodeResponse = EncodeListKeysResponse(encoder)
+		encodeError    = EncodeListKeysError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "list_keys")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "admin")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
 // MountIssueKeyHandler configures the mux to serve the "admin" service
 // "issue_key" endpoint.
 func MountIssueKeyHandler(mux goahttp.Muxer, h http.Handler) {
--- a/admin/gen/http/admin/server/types.go
+++ b/admin/gen/http/admin/server/types.go
@@ -160,6 +160,13 @@
 	Changes []*ConfigChangeResponseBody `form:"changes,omitempty" json:"changes,omitempty" xml:"changes,omitempty"`
 }
 
+// ListKeysResponseBody is the type of the "admin" service "list_keys" endpoint
+// HTTP response body.
+type ListKeysResponseBody struct {
+	// The keys, ordered by customer and ID
+	Keys []*IssuedKeyResponseBody `form:"keys" json:"keys" xml:"keys"`
+}
+
 // WithdrawKeyResponseBody is the type of the "admin" service "withdraw_key"
 // endpoint HTTP response body.
 type WithdrawKeyResponseBody struct {
@@ -478,6 +485,96 @@
 	Fault bool `form:"fault" json:"fault" xml:"fault"`
 }
 
+// ListKeysUnauthorizedResponseBody is the type of the "admin" service
+// "list_keys" endpoint HTTP response body for the "unauthorized" error.
+type ListKeysUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ListKeysInvalidResponseBody is the type of the "admin" service "list_keys"
+// endpoint HTTP response body for the "invalid" error.
+type ListKeysInvalidResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ListKeysNotFoundResponseBody is the type of the "admin" service "list_keys"
+// endpoint HTTP response body for the "not_found" error.
+type ListKeysNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ListKeysUnavailableResponseBody is the type of the "admin" service
+// "list_keys" endpoint HTTP response body for the "unavailable" error.
+type ListKeysUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ListKeysUnknownOutcomeResponseBody is the type of the "admin" service
+// "list_keys" endpoint HTTP response body for the "unknown_outcome" error.
+type ListKeysUnknownOutcomeResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
 // IssueKeyUnauthorizedResponseBody is the type of the "admin" service
 // "issue_key" endpoint HTTP response body for the "unauthorized" error.
 type IssueKeyUnauthorizedResponseBody struct {
@@ -1130,6 +1227,16 @@
 	Fields []string `form:"fields" json:"fields" xml:"fields"`
 }
 
+// IssuedKeyResponseBody is used to define fields on response body types.
+type IssuedKeyResponseBody struct {
+	// ID of the key
+	ID string `form:"id" json:"id" xml:"id"`
+	// Customer that the key belongs to
+	Customer string `form:"customer" json:"customer" xml:"customer"`
+	// Whether the key is withdrawn
+	Withdrawn bool `form:"withdrawn" json:"withdrawn" xml:"withdrawn"`
+}
+
 // MemberStatusResponseBody is used to define fields on response body types.
 type MemberStatusResponseBody struct {
 	// ID of the member
@@ -1387,6 +1494,25 @@
 	return body
 }
 
+// NewListKeysResponseBody builds the HTTP response body from the result of the
+// "list_keys" endpoint of the "admin" service.
+func NewListKeysResponseBody(res *admin.KeyList) *ListKeysResponseBody {
+	body := &ListKeysResponseBody{}
+	if res.Keys != nil {
+		body.Keys = make([]*IssuedKeyResponseBody, len(res.Keys))
+		for i, val := range res.Keys {
+			if val == nil {
+				body.Keys[i] = nil
+				continue
+			}
+			body.Keys[i] = marshalAdminIssuedKeyToIssuedKeyResponseBody(val)
+		}
+	} else {
+		body.Keys = []*IssuedKeyResponseBody{}
+	}
+	return body
+}
+
 // NewWithdrawKeyResponseBody builds the HTTP response body from the result of
 // the "withdraw_key" endpoint of the "admin" service.
 func NewWithdrawKeyResponseBody(res *admin.WithdrawResult) *WithdrawKeyResponseBody {
@@ -1665,6 +1791,76 @@
 	return body
 }
 
+// NewListKeysUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "list_keys" endpoint of the "admin" service.
+func NewListKeysUnauthorizedResponseBody(res *goa.ServiceError) *ListKeysUnauthorizedResponseBody {
+	body := &ListKeysUnauthorizedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewListKeysInvalidResponseBody builds the HTTP response body from the result
+// of the "list_keys" endpoint of the "admin" service.
+func NewListKeysInvalidResponseBody(res *goa.ServiceError) *ListKeysInvalidResponseBody {
+	body := &ListKeysInvalidResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewListKeysNotFoundResponseBody builds the HTTP response body from the
+// result of the "list_keys" endpoint of the "admin" service.
+func NewListKeysNotFoundResponseBody(res *goa.ServiceError) *ListKeysNotFoundResponseBody {
+	body := &ListKeysNotFoundResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewListKeysUnavailableResponseBody builds the HTTP response body from the
+// result of the "list_keys" endpoint of the "admin" service.
+func NewListKeysUnavailableResponseBody(res *goa.ServiceError) *ListKeysUnavailableResponseBody {
+	body := &ListKeysUnavailableResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewListKeysUnknownOutcomeResponseBody builds the HTTP response body from the
+// result of the "list_keys" endpoint of the "admin" service.
+func NewListKeysUnknownOutcomeResponseBody(res *goa.ServiceError) *ListKeysUnknownOutcomeResponseBody {
+	body := &ListKeysUnknownOutcomeResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
 // NewIssueKeyUnauthorizedResponseBody builds the HTTP response body from the
 // result of the "issue_key" endpoint of the "admin" service.
 func NewIssueKeyUnauthorizedResponseBody(res *goa.ServiceError) *IssueKeyUnauthorizedResponseBody {
@@ -2190,6 +2386,15 @@
 	return v
 }
 
+// NewListKeysPayload builds a admin service list_keys endpoint payload.
+func NewListKeysPayload(customer *string, token *string) *admin.ListKeysPayload {
+	v := &admin.ListKeysPayload{}
+	v.Customer = customer
+	v.Token = token
+
+	return v
+}
+
 // NewIssueKeyKeyPayload builds a admin service issue_key endpoint payload.
 func NewIssueKeyKeyPayload(body *IssueKeyRequestBody, token *string) *admin.KeyPayload {
 	v := &admin.KeyPayload{
--- a/admin/gen/http/cli/node/cli.go
+++ b/admin/gen/http/cli/node/cli.go
@@ -23,13 +23,13 @@
 //	command (subcommand1|subcommand2|...)
 func UsageCommands() []string {
 	return []string{
-		"admin (get-config|apply|get-change|issue-key|withdraw-key|status|drain|remove|report-burn|health)",
+		"admin (get-config|apply|get-change|list-keys|issue-key|withdraw-key|status|drain|remove|report-burn|health)",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "admin get-config --token \"Dolores aut maxime ea dignissimos officia.\"" + "\n" +
+	return os.Args[0] + " " + "admin get-config --token \"Sequi veritatis soluta ab sed.\"" + "\n" +
 		""
 }
 
@@ -56,6 +56,10 @@
 		adminGetChangeChangeIDFlag = adminGetChangeFlags.String("change-id", "REQUIRED", "ID of the change")
 		adminGetChangeTokenFlag    = adminGetChangeFlags.String("token", "", "")
 
+		adminListKeysFlags        = flag.NewFlagSet("list-keys", flag.ExitOnError)
+		adminListKeysCustomerFlag = adminListKeysFlags.String("customer", "", "")
+		adminListKeysTokenFlag    = adminListKeysFlags.String("token", "", "")
+
 		adminIssueKeyFlags     = flag.NewFlagSet("issue-key", flag.ExitOnError)
 		adminIssueKeyBodyFlag  = adminIssueKeyFlags.String("body", "REQUIRED", "")
 		adminIssueKeyTokenFlag = adminIssueKeyFlags.String("token", "", "")
@@ -85,6 +89,7 @@
 	adminGetConfigFlags.Usage = adminGetConfigUsage
 	adminApplyFlags.Usage = adminApplyUsage
 	adminGetChangeFlags.Usage = adminGetChangeUsage
+	adminListKeysFlags.Usage = adminListKeysUsage
 	adminIssueKeyFlags.Usage = adminIssueKeyUsage
 	adminWithdrawKeyFlags.Usage = adminWithdrawKeyUsage
 	adminStatusFlags.Usage = adminStatusUsage
@@ -136,6 +141,9 @@
 			case "get-change":
 				epf = adminGetChangeFlags
 
+			case "list-keys":
+				epf = adminListKeysFlags
+
 			case "issue-key":
 				epf = adminIssueKeyFlags
 
@@ -191,6 +199,9 @@
 			case "get-change":
 				endpoint = c.GetChange()
 				data, err = adminc.BuildGetChangePayload(*adminGetChangeChangeIDFlag, *adminGetChangeTokenFlag)
+			case "list-keys":
+				endpoint = c.ListKeys()
+				data, err = adminc.BuildListKeysPayload(*adminListKeysCustomerFlag, *adminListKeysTokenFlag)
 			case "issue-key":
 				endpoint = c.IssueKey()
 				data, err = adminc.BuildIssueKeyPayload(*adminIssueKeyBodyFlag, *adminIssueKeyTokenFlag)
@@ -229,6 +240,7 @@
 	fmt.Fprintln(os.Stderr, `    get-config: The configuration in force at the node.`)
 	fmt.Fprintln(os.Stderr, `    apply: Applies an operators' file as a whole or not at all. Repeating a change with its change ID is idempotent.`)
 	fmt.Fprintln(os.Stderr, `    get-change: Reads the outcome of a change back from the log by its change ID.`)
+	fmt.Fprintln(os.Stderr, `    list-keys: The issued keys without their hashes.`)
 	fmt.Fprintln(os.Stderr, `    issue-key: Issues a key. The client makes the secret and sends its salted hash, so the secret never reaches a node; repeating the request is idempotent.`)
 	fmt.Fprintln(os.Stderr, `    withdraw-key: Withdraws a key for good, also while the platform's log is away.`)
 	fmt.Fprintln(os.Stderr, `    status: The node's view of the fleet: members, configuration versions, log offsets and lag.`)
@@ -255,7 +267,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "admin get-config --token \"Dolores aut maxime ea dignissimos officia.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "admin get-config --token \"Sequi veritatis soluta ab sed.\"")
 }
 
 func adminApplyUsage() {
@@ -275,7 +287,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "admin apply --body '{\n      \"base_version\": 710026787063270516,\n      \"change_id\": \"tVt5Fq2bv\",\n      \"dry_run\": false,\n      \"file\": \"evz\"\n   }' --token \"Mollitia soluta in nostrum quo dolor quia.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "admin apply --body '{\n      \"base_version\": 2402267226355829446,\n      \"change_id\": \"4jr4gXvxXHYAI\",\n      \"dry_run\": false,\n      \"file\": \"iwb\"\n   }' --token \"Quam consectetur aut quia occaecati ex quisquam.\"")
 }
 
 func adminGetChangeUsage() {
@@ -295,7 +307,27 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "admin get-change --change-id \"FDKsPzCR0\" --token \"Rerum quibusdam consequatur.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "admin get-change --change-id \"thGhjmwh3\" --token \"Aut vel dicta maiores in minus.\"")
+}
+
+func adminListKeysUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] admin list-keys", os.Args[0])
+	fmt.Fprint(os.Stderr, " -customer STRING")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `The issued keys without their hashes.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -customer STRING: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "admin list-keys --customer \"Tempore est cumque.\" --token \"Itaque beatae.\"")
 }
 
 func adminIssueKeyUsage() {
@@ -315,7 +347,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "admin issue-key --body '{\n      \"customer\": \"Error dolore porro perspiciatis.\",\n      \"hash\": \"25c63140f9d4c11c07e33ccde10100d54464a18deb8c9302e13a7aeec8e9fbe5\",\n      \"id\": \"tsnjnys5\",\n      \"salt\": \"d5fb1a8bb89c0bd2515e5c453c694da3\"\n   }' --token \"Quis est exercitationem minima consequuntur explicabo.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "admin issue-key --body '{\n      \"customer\": \"Ipsam sequi nihil amet quis est exercitationem.\",\n      \"hash\": \"1d723d5f25c6e72295b971350a8aa9b24846a6e601ba1faf9aea95217f456f41\",\n      \"id\": \"0tbki21fnq4i\",\n      \"salt\": \"a5e2c9702ec89bcab78978d2076828ce\"\n   }' --token \"Ducimus enim.\"")
 }
 
 func adminWithdrawKeyUsage() {
@@ -335,7 +367,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "admin withdraw-key --id \"1rybp1vm\" --token \"Consequatur totam aperiam qui.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "admin withdraw-key --id \"pcpyo57v3h1du\" --token \"Fuga molestiae itaque molestias.\"")
 }
 
 func adminStatusUsage() {
@@ -353,7 +385,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "admin status --token \"Aut magni fugit odio vel.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "admin status --token \"Qui sequi.\"")
 }
 
 func adminDrainUsage() {
@@ -375,7 +407,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "admin drain --body '{\n      \"on\": true\n   }' --id \"Rml\" --token \"Fuga molestiae itaque molestias.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "admin drain --body '{\n      \"on\": false\n   }' --id \"A\" --token \"Ipsum reprehenderit nobis.\"")
 }
 
 func adminRemoveUsage() {
@@ -395,7 +427,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "admin remove --id \"D\" --token \"Et recusandae sit expedita.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "admin remove --id \"u\" --token \"Praesentium eius animi maxime dolorem.\"")
 }
 
 func adminReportBurnUsage() {
@@ -413,7 +445,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "admin report-burn --token \"Rerum ad et.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "admin report-burn --token \"Rerum expedita id.\"")
 }
 
 func adminHealthUsage() {
--- a/admin/handler_test.go
+++ b/admin/handler_test.go
@@ -34,6 +34,7 @@
 		{"GET", "/v1/config", ""},
 		{"POST", "/v1/config", `{"file":"","base_version":0,"change_id":"change-0001"}`},
 		{"GET", "/v1/changes/change-0001", ""},
+		{"GET", "/v1/keys", ""},
 		{"POST", "/v1/keys", `{"id":"0123456789","customer":"golf","salt":"` + strings.Repeat("0", 32) + `","hash":"` + strings.Repeat("0", 64) + `"}`},
 		{"DELETE", "/v1/keys/0123456789", ""},
 		{"GET", "/v1/status", ""},
--- a/admin/service.go
+++ b/admin/service.go
@@ -77,6 +77,11 @@
 	return changeResult(p.ChangeID, s.backend.Outcome(ctx, p.ChangeID)), nil
 }
 
+// ListKeys returns the issued keys, all or those of one customer.
+func (s *service) ListKeys(_ context.Context, p *api.ListKeysPayload) (*api.KeyList, error) {
+	return keyList(s.backend.Snapshot(), p.Customer), nil
+}
+
 // IssueKey adds a key for a customer of the configuration in force.
 func (s *service) IssueKey(ctx context.Context, p *api.KeyPayload) error {
 	if _, ok := s.backend.Snapshot().Customer(p.Customer); !ok {
--- a/cmd/gooseberryctl/backend_test.go
+++ b/cmd/gooseberryctl/backend_test.go
@@ -56,10 +56,11 @@
 	self := state.Member{ID: "node-1", Service: "mapas", Domain: "evora-a", CallerAddr: "10.0.0.1:7400"}
 	ended := state.Member{ID: "node-2", Service: "avisos", Domain: "beja-a", CallerAddr: "10.0.0.2:7400"}
 	s := &state.Snapshot{
-		Offset:  7,
-		Keys:    map[string]config.Key{},
-		Members: map[state.MemberID]state.Member{self.ID: self, ended.ID: ended},
-		Ended:   map[state.MemberID]bool{},
+		Offset:    7,
+		Keys:      map[string]config.Key{"0000000000": {ID: "0000000000", Customer: "tennis"}},
+		Withdrawn: map[string]bool{},
+		Members:   map[state.MemberID]state.Member{self.ID: self, ended.ID: ended},
+		Ended:     map[state.MemberID]bool{},
 	}
 	return &memoryBackend{snapshot: s.Index(), outcomes: map[string]admin.SubmitResult{}}
 }
@@ -93,6 +94,7 @@
 func (b *memoryBackend) update(f func(s *state.Snapshot)) {
 	s := *b.snapshot
 	s.Keys = maps.Clone(s.Keys)
+	s.Withdrawn = maps.Clone(s.Withdrawn)
 	s.Members = maps.Clone(s.Members)
 	s.Ended = maps.Clone(s.Ended)
 	f(&s)
@@ -171,7 +173,7 @@
 }
 
 func (b *memoryBackend) Withdraw(_ context.Context, keyID string) error {
-	return b.changed(func(s *state.Snapshot) { delete(s.Keys, keyID) })
+	return b.changed(func(s *state.Snapshot) { s.Withdrawn[keyID] = true })
 }
 
 func (b *memoryBackend) SetDraining(_ context.Context, id state.MemberID, draining bool) error {
--- a/cmd/gooseberryctl/fleet.go
+++ b/cmd/gooseberryctl/fleet.go
@@ -53,7 +53,7 @@
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
 	doer := &http.Client{Transport: transport, Timeout: attemptTimeout}
 	c := apiclient.NewClient("http", address, doer, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
-	return api.NewClient(c.GetConfig(), c.Apply(), c.GetChange(), c.IssueKey(), c.WithdrawKey(),
+	return api.NewClient(c.GetConfig(), c.Apply(), c.GetChange(), c.ListKeys(), c.IssueKey(), c.WithdrawKey(),
 		c.Status(), c.Drain(), c.Remove(), c.ReportBurn(), c.Health())
 }
 
--- a/cmd/gooseberryctl/key.go
+++ b/cmd/gooseberryctl/key.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"text/tabwriter"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -14,16 +15,21 @@
 output. The text is shown this once: the secret is made here, and only a salted
 hash of it is sent. Callers present the text as a bearer token.`
 
+const listHelp = `Lists the issued keys, withdrawn ones too, of all customers or of --customer.`
+
 const withdrawHelp = `Withdraws a key for good. ID is the middle part of the key's text gbf_ID_SECRET.
 Any node takes it, also while the platform's log is away.`
 
 func (a *app) keyCommand() *ffcli.Command {
-	group := a.command("key", "gooseberryctl key issue|withdraw [flags] ...", "issue and withdraw callers' keys", "")
+	group := a.command("key", "gooseberryctl key issue|list|withdraw [flags] ...", "issue, list and withdraw callers' keys", "")
 	issue := a.command("issue", "gooseberryctl key issue [flags] CUSTOMER", "make a key for a customer", issueHelp)
 	issue.Exec = a.exec([]string{"CUSTOMER"}, a.issueKey)
+	list := a.command("list", "gooseberryctl key list [flags]", "list the issued keys", listHelp)
+	customer := list.FlagSet.String("customer", "", "list only the keys of this `customer`")
+	list.Exec = a.exec(nil, func(ctx context.Context, _ []string) error { return a.listKeys(ctx, *customer) })
 	withdraw := a.command("withdraw", "gooseberryctl key withdraw [flags] ID", "withdraw a key for good", withdrawHelp)
 	withdraw.Exec = a.exec([]string{"ID"}, a.withdrawKey)
-	group.Subcommands = []*ffcli.Command{issue, withdraw}
+	group.Subcommands = []*ffcli.Command{issue, list, withdraw}
 	group.Exec = groupExec(group)
 	return group
 }
@@ -65,6 +71,50 @@
 	return err
 }
 
+type listedKey struct {
+	ID        string `json:"id"`
+	Customer  string `json:"customer"`
+	Withdrawn bool   `json:"withdrawn"`
+}
+
+func (a *app) listKeys(ctx context.Context, customer string) error {
+	f, err := a.connect()
+	if err != nil {
+		return err
+	}
+	p := &api.ListKeysPayload{Token: &a.token}
+	if customer != "" {
+		p.Customer = &customer
+	}
+	list, err := read(ctx, f, func(ctx context.Context, c *api.Client) (*api.KeyList, error) {
+		return c.ListKeys(ctx, p)
+	})
+	if err != nil {
+		return err
+	}
+	return a.showKeys(list)
+}
+
+func (a *app) showKeys(list *api.KeyList) error {
+	keys := []listedKey{}
+	for _, k := range list.Keys {
+		keys = append(keys, listedKey{k.ID, k.Customer, k.Withdrawn})
+	}
+	if a.json {
+		return a.writeJSON(keys)
+	}
+	t := tabwriter.NewWriter(a.stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "CUSTOMER\tID\tSTATE")
+	for _, k := range keys {
+		state := "valid"
+		if k.Withdrawn {
+			state = "withdrawn"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\n", k.Customer, k.ID, state)
+	}
+	return t.Flush()
+}
+
 func (a *app) withdrawKey(ctx context.Context, args []string) error {
 	f, err := a.connect()
 	if err != nil {
--- a/cmd/gooseberryctl/script_test.go
+++ b/cmd/gooseberryctl/script_test.go
@@ -16,6 +16,10 @@
 
 const operatorToken = "0123456789abcdef"
 
+// nobodyAddress has a port outside the range that servers of tests get, so that
+// nothing listens there.
+const nobodyAddress = "127.0.0.1:1"
+
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){"gooseberryctl": main})
 }
@@ -34,11 +38,9 @@
 			env.Defer(server.Close)
 			again := httptest.NewServer(handler)
 			env.Defer(again.Close)
-			gone := httptest.NewServer(nil)
-			gone.Close()
 			env.Setenv("ADMIN", server.Listener.Addr().String())
 			env.Setenv("ADMIN_AGAIN", again.Listener.Addr().String())
-			env.Setenv("NOBODY", gone.Listener.Addr().String())
+			env.Setenv("NOBODY", nobodyAddress)
 			env.Setenv("GOOSEBERRYCTL_ADMIN", server.Listener.Addr().String())
 			env.Setenv("GOOSEBERRYCTL_TOKEN", operatorToken)
 			env.Values[backendKey{}] = b
