--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -24,6 +24,9 @@
 		t.Fatal(err)
 	}
 	defer fleet.Stop()
+	if err := fleet.warmUp(context.Background()); err != nil {
+		t.Fatal(err)
+	}
 	c := newCallers(fleet)
 	for _, kind := range d.Requests {
 		s := c.send(context.Background(), arrival{customer: "customer-1", kind: kind, id: "x7", at: time.Second})
--- a/experiment/latency_test.go
+++ b/experiment/latency_test.go
@@ -35,6 +35,7 @@
 			{Name: "echo", Instances: 1, Slots: 100, Queue: 100, Works: []standin.Work{{Prefix: "/"}}},
 		},
 		Routes:    []Route{{"echo", "echo", "GET", "/echo/{id}", true, config.PriorityNormal}},
+		Requests:  []Request{{Route: "echo", Share: 1, Calls: 1}},
 		Customers: []Customer{{Name: "customer-1", Demand: latencyRate, Rate: 1e5, Burst: 1e5}},
 		Deadline:  5 * time.Second,
 	}
@@ -56,6 +57,9 @@
 			b.Fatal(err)
 		}
 		defer fleet.Stop()
+		if err := fleet.warmUp(context.Background()); err != nil {
+			b.Fatal(err)
+		}
 		fleets[carrier] = fleet
 	}
 	histograms := make(map[string]*hdrhistogram.Histogram)
