--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -111,6 +111,7 @@
 	})
 	var stopLoad atomic.Bool
 	var answered, refused atomic.Int64
+	var reasons sync.Map
 	var wg sync.WaitGroup
 	for worker := range 16 {
 		wg.Go(func() {
@@ -123,6 +124,8 @@
 					answered.Add(1)
 				case r.notRun():
 					refused.Add(1)
+					n, _ := reasons.LoadOrStore(r.reason, new(atomic.Int64))
+					n.(*atomic.Int64).Add(1)
 					if n := stays.upstream.Runs()[idem] + leaves.upstream.Runs()[idem]; n != 0 {
 						t.Errorf("%s was called not run but ran %d times", id, n)
 					}
@@ -148,6 +151,10 @@
 		t.Errorf("%d requests reached the upstream of the stopped node", after-before)
 	}
 	t.Logf("answered %d, refused %d", answered.Load(), refused.Load())
+	reasons.Range(func(reason, n any) bool {
+		t.Logf("refused for %s: %d", reason, n.(*atomic.Int64).Load())
+		return true
+	})
 }
 
 // TestWithdrawnKeyStopsOnLiveConnection withdraws a key at one node while a
