Claims: ends that are learned outside the log

Cause: the state takes resignations from peers before the log has them, so nodes see an end at different places between the changes in the log. The proof in claims/doc.go assumed one order for all.

Change: a tenure that was taken over is closed when a member joins that ranks before this node; it is taken over only if this node is next in its own view. A range is lowered to the end of another only if the change that opened the other is the one this node saw before its own; an end alone no longer says so. A taken-over tenure keeps the change that opened it, so that a chain of planned stops leaves no gap. Unused notices are dropped.

--- a/claims/message.go
+++ b/claims/message.go
@@ -100,6 +100,8 @@
 	Shard uint16 `cbor:"1,keyasint"`
 	// EndMS is in Unix milliseconds.
 	EndMS int64 `cbor:"2,keyasint"`
+	// Since is the change by which the owner before came to own the shard.
+	Since Change `cbor:"3,keyasint"`
 }
 
 // Handover carries a shard of a resigning member to its next owner. Large
--- a/claims/notice.go
+++ b/claims/notice.go
@@ -32,7 +32,7 @@
 		out.Notice = ClosedNotice{Change: closed.Closed, Domains: t.domains, Holder: t.self}
 		ns[key] = out
 	}
-	out.Notice.Ends = append(out.Notice.Ends, TenureEnd{Shard: shard, EndMS: closed.endMS()})
+	out.Notice.Ends = append(out.Notice.Ends, TenureEnd{Shard: shard, EndMS: closed.endMS(), Since: closed.since()})
 }
 
 // list returns the notices ordered by receiver.
@@ -71,16 +71,24 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, tenure := range s.tenures {
-		if tenure.Opened != n.Change || tenure.Owner != t.self.ID {
-			continue
+		if tenure.Opened == n.Change && tenure.Owner == t.self.ID {
+			t.lower(tenure, n.Holder, end, next)
+			return
 		}
-		tenure.Previous = n.Holder
-		if tenure.lower(end.EndMS) && !tenure.Open {
-			next.add(t, end.Shard, tenure)
-		}
-		return
 	}
 	if len(t.ends) < maxPendingEnds {
-		t.ends[pendingEnd{change: n.Change, shard: end.Shard}] = ended{endMS: end.EndMS, holder: n.Holder}
+		t.ends[pendingEnd{change: n.Change, shard: end.Shard}] = ended{end: end, holder: n.Holder}
+	}
+}
+
+// lower starts a tenure at the end of the one directly before it. A closed
+// tenure that thereby ends earlier is passed on to the next owner.
+func (t *Table) lower(tenure *Tenure, holder state.Member, end TenureEnd, next notices) {
+	if !tenure.follows(end.Since) {
+		return
+	}
+	tenure.Previous = holder
+	if tenure.lower(end.EndMS) && !tenure.Open {
+		next.add(t, end.Shard, tenure)
 	}
 }
--- a/claims/plugin_test.go
+++ b/claims/plugin_test.go
@@ -165,3 +165,20 @@
 		t.Errorf("forgotten key: verdict %d", v)
 	}
 }
+
+// BenchmarkClaim measures grants of fresh keys at the owner, and the memory
+// kept for each.
+func BenchmarkClaim(b *testing.B) {
+	w := newWorld(1, 1, false)
+	w.runUntil(w.now + 5000)
+	table := w.nodes[0].table
+	table.settings.MaxEntries = int64(b.N) + 1
+	for i := range table.shards {
+		table.shards[i].domains = []string{"a"}
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		tail := [10]byte{6: byte(i >> 24), 7: byte(i >> 16), 8: byte(i >> 8), 9: byte(i)}
+		table.Claim(ClaimRequest{Key: newKey(w.now, tail), Attempt: Attempt{1}})
+	}
+}
--- a/claims/resign.go
+++ b/claims/resign.go
@@ -96,25 +96,26 @@
 func (t *Table) adopt(s *shard, h Handover, in Tenure) {
 	in.LowMS = max(in.LowMS, s.floorMS)
 	if in.Open {
-		now := t.roster.owners[h.Shard]
-		end := Change{Member: h.From, Ended: true}
-		switch {
-		case now.owner == h.From && now.opened == in.Opened && in.Opened.known() && s.open() == nil:
-		case now.owner == t.self.ID && now.opened == end:
-			in.close(end, t.self)
-			s.start(end, in.endMS())
-		default:
-			in.close(Change{}, state.Member{})
-		}
+		t.adoptOpen(s, h, &in)
 	}
 	s.tenures = append(s.tenures, &in)
 }
 
-// start lets the tenure that a change opened begin where the one before ends.
-func (s *shard) start(opened Change, endMS int64) {
-	if t := s.open(); t != nil && t.Opened == opened {
-		t.lower(endMS)
+func (t *Table) adoptOpen(s *shard, h Handover, in *Tenure) {
+	now := t.roster.owners[h.Shard]
+	open := s.open()
+	heir, _ := t.roster.heir(h.Shard, h.From)
+	same := now.owner == h.From && now.opened == in.since() && in.since().known()
+	if open == nil && same && heir.ID == t.self.ID {
+		return
+	}
+	end := Change{Member: h.From, Ended: true}
+	if open == nil || open.Opened != end || !open.follows(in.since()) {
+		in.close(Change{}, state.Member{})
+		return
 	}
+	in.close(end, t.self)
+	open.lower(in.endMS())
 }
 
 func (s *shard) knows(in *Tenure) bool {
--- a/claims/roster.go
+++ b/claims/roster.go
@@ -20,11 +20,13 @@
 	fresh bool
 }
 
-// ownership tells who owns a shard, since which change, and who did before.
+// ownership tells who owns a shard, since which change, and who did before,
+// since which change.
 type ownership struct {
-	owner    state.MemberID
-	opened   Change
-	previous state.Member
+	owner          state.MemberID
+	opened         Change
+	previous       state.Member
+	previousOpened Change
 }
 
 // move is the passing of a shard to another owner.
@@ -120,6 +122,7 @@
 func (r *roster) pass(shard uint16, to state.MemberID, by Change) move {
 	o := &r.owners[shard]
 	o.previous = r.members[o.owner]
+	o.previousOpened = o.opened
 	o.owner = to
 	o.opened = by
 	return move{shard: shard, ownership: *o}
--- a/claims/table.go
+++ b/claims/table.go
@@ -44,7 +44,7 @@
 }
 
 type ended struct {
-	endMS  int64
+	end    TenureEnd
 	holder state.Member
 }
 
@@ -236,6 +236,8 @@
 		Previous: o.previous,
 		Open:     true,
 		Owner:    t.self.ID,
+
+		previousOpened: o.previousOpened,
 	}
 }
 
@@ -243,6 +245,9 @@
 func (t *Table) apply(e state.RosterEvent) []Outgoing {
 	fresh := t.roster.fresh
 	notices := make(notices)
+	if !e.Ended {
+		t.yield(e.Member, notices)
+	}
 	for _, mv := range t.roster.apply(e) {
 		s := &t.shards[mv.shard]
 		s.mu.Lock()
@@ -258,6 +263,22 @@
 	return notices.list()
 }
 
+// yield closes the tenures that this node has taken over from a member that
+// has resigned, where a new member is the next owner in its place. The new
+// member owns them as soon as it learns of the resignation.
+func (t *Table) yield(joined state.Member, notices notices) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		open := s.open()
+		if open != nil && open.Owner != t.self.ID && beats(joined.ID, t.self.ID, uint16(i)) {
+			open.close(Change{Member: open.Owner, Ended: true}, joined)
+			notices.add(t, uint16(i), open)
+		}
+		s.mu.Unlock()
+	}
+}
+
 // passOn closes the open tenure of a shard that has moved. A tenure taken
 // over from a member that has now ended goes on under this node.
 func (t *Table) passOn(s *shard, mv move) *Tenure {
@@ -268,7 +289,7 @@
 	takenOver := open.Owner == mv.previous.ID && open.Owner != t.self.ID
 	if mv.owner == t.self.ID && mv.opened.Ended && takenOver {
 		open.Owner = t.self.ID
-		open.Opened = mv.opened
+		open.Taken = mv.opened
 		return nil
 	}
 	open.close(mv.opened, t.roster.members[mv.owner])
@@ -280,13 +301,12 @@
 	if fresh {
 		n.LowMS = since.UnixMilli()
 	}
+	s.tenures = append(s.tenures, n)
 	id := pendingEnd{change: mv.opened, shard: mv.shard}
 	if e, ok := t.ends[id]; ok {
 		delete(t.ends, id)
-		n.LowMS = e.endMS
-		n.Previous = e.holder
+		t.lower(n, e.holder, e.end, nil)
 	}
-	s.tenures = append(s.tenures, n)
 }
 
 // confirm extends the open tenures to the margin after the latest contact.
@@ -317,6 +337,9 @@
 	t.mu.Lock()
 	from := t.swept
 	t.swept = (from + sweepPerTick) % shardCount
+	if t.swept == 0 {
+		t.dropEnds(now)
+	}
 	t.mu.Unlock()
 	floorMS := now.Add(-t.settings.Retention).UnixMilli()
 	for i := range sweepPerTick {
@@ -324,6 +347,17 @@
 	}
 }
 
+// dropEnds forgets notices that no tenure has used in time to profit.
+func (t *Table) dropEnds(now time.Time) {
+	wait := t.settings.Margin + t.settings.Skew
+	oldest := now.Add(-2 * wait).UnixMilli()
+	for id, e := range t.ends {
+		if e.end.EndMS < oldest {
+			delete(t.ends, id)
+		}
+	}
+}
+
 // Len returns the number of keys remembered.
 func (t *Table) Len() int64 { return t.total.Load() }
 
--- a/claims/tenure.go
+++ b/claims/tenure.go
@@ -25,6 +25,12 @@
 	// DeniedMS is the latest minting time that was refused as lying before
 	// the tenure; the range may not be lowered to include it.
 	DeniedMS int64 `cbor:"8,keyasint"`
+	// Taken is the latest planned stop by which the tenure, still open, passed
+	// to another member; zero if there was none.
+	Taken Change `cbor:"9,keyasint"`
+	// previousOpened is the change since which the owner before had owned the
+	// shard, as far as this node has seen.
+	previousOpened Change
 	// next is the owner after a closed tenure, where known.
 	next state.Member
 }
@@ -50,6 +56,22 @@
 	}
 }
 
+// since returns the change by which the present owner came to own the shard.
+func (t *Tenure) since() Change {
+	if t.Taken.known() {
+		return t.Taken
+	}
+	return t.Opened
+}
+
+// follows reports whether a tenure that its owner held since a change comes
+// directly before this one. Resignations spread outside the log, so nodes may
+// see an end at different places between the changes in the log; the change
+// that began the tenure before tells. A join is seen at one place only.
+func (t *Tenure) follows(since Change) bool {
+	return !t.Opened.Ended || since.known() && t.previousOpened == since
+}
+
 // lower starts the range at the end of the tenure before. It reports whether
 // that has moved the tenure's own end.
 func (t *Tenure) lower(endMS int64) bool {
@@ -65,7 +87,7 @@
 
 // same reports whether two values describe the same tenure.
 func (t *Tenure) same(o *Tenure) bool {
-	if t.Owner != o.Owner || t.Opened != o.Opened {
+	if t.Owner != o.Owner || t.Opened != o.Opened || t.Taken != o.Taken {
 		return false
 	}
 	return t.Opened.known() || t.LowMS == o.LowMS
--- a/claims/world_test.go
+++ b/claims/world_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -45,9 +47,15 @@
 	applied int
 	contact int64
 	snap    *state.Snapshot
-	events  []state.RosterEvent
 	paused  int64
-	dead    bool
+	events  []state.RosterEvent
+	version uint64
+	config  *config.Config
+	members map[state.MemberID]state.Member
+	ended   map[state.MemberID]bool
+	// resigned lists what was learned outside the log.
+	resigned []state.Member
+	dead     bool
 }
 
 type event struct {
@@ -154,7 +162,8 @@
 func (w *world) join(domain string) *simNode {
 	w.started++
 	m := state.Member{ID: state.MemberID(fmt.Sprintf("m%d", w.started)), Domain: domain}
-	n := &simNode{w: w, member: m, table: NewTable(m, testSettings), skew: w.rng.Int64N(101) - 50}
+	n := &simNode{w: w, member: m, table: NewTable(m, testSettings), skew: w.rng.Int64N(101) - 50,
+		members: map[state.MemberID]state.Member{}, ended: map[state.MemberID]bool{}}
 	n.publish(0, 0)
 	w.nodes = append(w.nodes, n)
 	w.appendEvent(m, false)
@@ -194,52 +203,64 @@
 	n.do(200+n.w.rng.Int64N(200), n.poll)
 }
 
-// gossip takes records, but no contact, from a peer.
+// gossip takes records and resignations, but no contact, from a peer.
 func (n *simNode) gossip() {
 	peer := n.w.nodes[n.w.rng.IntN(len(n.w.nodes))]
-	upTo := peer.applied
-	peer.send(n, func() { n.publish(upTo, 0) })
+	upTo, resigned := peer.applied, peer.resigned
+	peer.send(n, func() { n.publish(upTo, 0, resigned...) })
 	n.do(200+n.w.rng.Int64N(200), n.gossip)
 }
 
-func (n *simNode) publish(upTo int, contact int64) {
-	if upTo < n.applied {
-		return
-	}
-	s := &state.Snapshot{Members: map[state.MemberID]state.Member{}, Ended: map[state.MemberID]bool{}}
-	seq := uint64(0)
-	for i, r := range n.w.log[:upTo] {
-		if r.domains != nil {
-			s.Version++
-			s.Config = &config.Config{FailureDomains: r.domains}
-			continue
-		}
-		seq++
-		r.event.Seq = seq
-		r.event.Observed = n.clock()
-		if r.event.Ended {
-			delete(s.Members, r.event.Member.ID)
-		} else {
-			s.Members[r.event.Member.ID] = r.event.Member
+// publish applies the log up to an offset, and resignations that were learned
+// outside the log.
+func (n *simNode) publish(upTo int, contact int64, resigned ...state.Member) {
+	if upTo >= n.applied {
+		for _, r := range n.w.log[n.applied:upTo] {
+			n.apply(r)
 		}
-		if i >= n.applied {
-			n.events = append(n.events, r.event)
+		n.applied = upTo
+		n.contact = max(n.contact, contact)
+	}
+	for _, m := range resigned {
+		if !n.ended[m.ID] {
+			n.apply(record{event: state.RosterEvent{Member: m, Ended: true}})
+			n.resigned = append(n.resigned, m)
 		}
 	}
-	n.applied = upTo
-	n.contact = max(n.contact, contact)
+	s := &state.Snapshot{Version: n.version, Config: n.config, Members: maps.Clone(n.members), Ended: maps.Clone(n.ended)}
+	s.Events = slices.Clone(n.events)
+	if n.w.faulty { // short, so that gaps occur
+		s.Events = s.Events[max(0, len(s.Events)-6):]
+	}
 	if n.contact > 0 {
 		s.Contact = time.UnixMilli(n.contact)
 	}
-	s.Events = n.events
-	if n.w.faulty { // short, so that gaps occur
-		s.Events = n.events[max(0, len(n.events)-6):]
-	}
 	n.snap = s.Index()
 	n.notify(n.table.Update(n.snap, n.clock()))
 	n.table.Prune(n.clock())
 }
 
+func (n *simNode) apply(r record) {
+	if r.domains != nil {
+		n.version++
+		n.config = &config.Config{FailureDomains: r.domains}
+		return
+	}
+	id := r.event.Member.ID
+	if n.ended[id] {
+		return
+	}
+	if r.event.Ended {
+		delete(n.members, id)
+		n.ended[id] = true
+	} else {
+		n.members[id] = r.event.Member
+	}
+	r.event.Seq = uint64(len(n.events) + 1)
+	r.event.Observed = n.clock()
+	n.events = append(n.events, r.event)
+}
+
 func (n *simNode) notify(notices []Outgoing) {
 	for _, out := range notices {
 		to := n.w.node(out.To.ID)
@@ -258,7 +279,14 @@
 	for _, out := range n.table.Resign() {
 		w.handOver(n, out.To.ID, out.Messages, 0)
 	}
-	w.at(1500, func() { w.stopNode(n); w.appendEvent(n.member, true) })
+	w.at(1500, func() {
+		for range 3 {
+			to := w.nodes[w.rng.IntN(len(w.nodes))]
+			n.send(to, func() { to.publish(0, 0, n.member) })
+		}
+		w.stopNode(n)
+	})
+	w.at(1500+w.rng.Int64N(8000), func() { w.appendEvent(n.member, true) })
 }
 
 func (w *world) handOver(n *simNode, to state.MemberID, messages []Handover, tries int) {
