--- a/ratelimit/failure_test.go
+++ b/ratelimit/failure_test.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -91,3 +92,46 @@
 		}
 	}
 }
+
+// BenchmarkControlTraffic reports the control messages of a node, sent and
+// received and without transport, at a fixed demand of 14 root requests a
+// second and node for eight customers.
+func BenchmarkControlTraffic(b *testing.B) {
+	for _, nodes := range []int{8, 16, 32, 64} {
+		for _, load := range []float64{0.8, 5} {
+			b.Run(fmt.Sprintf("nodes=%d/load=%.1f", nodes, load), func(b *testing.B) {
+				for range b.N {
+					reportTraffic(b, nodes, load)
+				}
+			})
+		}
+	}
+}
+
+func reportTraffic(b *testing.B, nodes int, load float64) {
+	var customers []config.Customer
+	demand := 14 * float64(nodes) / 8
+	for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		customers = append(customers, config.Customer{Name: name, Rate: demand / load, Burst: max(6, demand/load)})
+	}
+	f := newFleet(1, []string{"d1", "d2"}, nodes/2, customers)
+	for _, c := range customers {
+		f.arrivals(c.Name, demand, runLength, f.anyLive)
+	}
+	f.run(warmUp)
+	for _, n := range f.nodes {
+		n.messages, n.bytes = 0, 0
+	}
+	f.run(runLength)
+	bytes, messages, most := 0, 0, 0
+	for _, n := range f.nodes {
+		bytes += n.bytes
+		messages += n.messages
+		most = max(most, n.bytes)
+	}
+	perNode := float64(nodes) * (runLength - warmUp).Seconds()
+	b.ReportMetric(float64(bytes)/perNode, "B/s")
+	b.ReportMetric(float64(messages)/perNode, "messages/s")
+	b.ReportMetric(float64(most)/(runLength-warmUp).Seconds(), "most-B/s")
+	b.ReportMetric(0, "ns/op")
+}
--- a/ratelimit/lease_test.go
+++ b/ratelimit/lease_test.go
@@ -1,8 +1,11 @@
 package ratelimit
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
 var t0 = time.Unix(1000, 0)
@@ -134,3 +137,19 @@
 		}
 	})
 }
+
+// BenchmarkLedgerAsk measures an ask to a pool with many borrowers.
+func BenchmarkLedgerAsk(b *testing.B) {
+	for _, borrowers := range []int{8, 64, 183} {
+		b.Run(fmt.Sprint(borrowers), func(b *testing.B) {
+			l := NewLedger(DefaultTiming, Share{Rate: 300, Burst: 300}, t0)
+			now := t0
+			b.ReportAllocs()
+			for i := range b.N {
+				now = now.Add(3 * time.Millisecond)
+				from := state.MemberID(fmt.Sprint(i % borrowers))
+				l.Ask(from, true, Ask{Seq: uint64(i + 1), WantRate: 2, WantBurst: 2, Waiting: 1}, now)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/ratelimit/resend_test.go
@@ -0,0 +1,67 @@
+package ratelimit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+)
+
+func TestResendsAreHeldToRatio(t *testing.T) {
+	r := NewResends()
+	now := t0
+	const others = 200
+	resent := 0
+	for i := range uint64(others) {
+		now = now.Add(10 * time.Millisecond)
+		r.Ended("c", i, kernel.ReasonOverload, now)
+		if ok, _ := r.Allow("c", 1_000_000+i, now); !ok {
+			t.Fatal("a request that is no resend was refused")
+		}
+		for range 3 {
+			ok, after := r.Allow("c", i, now)
+			if ok {
+				resent++
+			} else if after <= 0 {
+				t.Fatal("a refusal without a time to come back")
+			}
+		}
+	}
+	if limit := resendReserve + int(others*resendRatio) + 1; resent > limit || resent < resendReserve {
+		t.Fatalf("%d resends passed, want %d to %d", resent, resendReserve, limit)
+	}
+}
+
+func TestResendsPassWithoutOverload(t *testing.T) {
+	r := NewResends()
+	for _, reason := range []kernel.Reason{"", kernel.ReasonRate, kernel.ReasonDuplicate} {
+		r.Ended("c", 1, reason, t0)
+	}
+	for range 100 {
+		if ok, _ := r.Allow("c", 1, t0); !ok {
+			t.Fatal("refused without overload")
+		}
+	}
+	r.Ended("c", 1, kernel.ReasonOverload, t0)
+	later := t0.Add(overloadHold + time.Second)
+	for range 100 {
+		if ok, _ := r.Allow("c", 1, later); !ok {
+			t.Fatal("refused after the overload")
+		}
+	}
+}
+
+func TestResendsOfOneCustomerDoNotCost(t *testing.T) {
+	r := NewResends()
+	r.Ended("c", 1, kernel.ReasonOverload, t0)
+	r.Ended("d", 1, kernel.ReasonOverload, t0)
+	for range 100 {
+		r.Allow("c", 1, t0)
+	}
+	if ok, _ := r.Allow("c", 1, t0); ok {
+		t.Fatal("the budget of the first customer is not spent")
+	}
+	if ok, _ := r.Allow("d", 1, t0); !ok {
+		t.Fatal("another customer pays")
+	}
+}
