--- a/experiment/report.go
+++ b/experiment/report.go
@@ -245,4 +245,4 @@
 }
 
 // Top returns the goodput of the most important priority.
-func (p PhaseReport) Top() Goodput { return p.ByPriority[config.PriorityCritical.String()] }
+func (r PhaseReport) Top() Goodput { return r.ByPriority[config.PriorityCritical.String()] }
