State: adopted events follow the order of announcements in the log

Cause: a node that adopts a peer's state saw the members' announcements ordered by ID; it then named a wrong previous owner of claims shards, and fresh keys were answered unknown. Ruled out: ordering by the announced time (processes announce in another order than they start).

--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -130,7 +130,7 @@
 						t.Errorf("%s was called not run but ran %d times", id, n)
 					}
 				default:
-					t.Errorf("%s was cut: %d %s %s %v", id, r.status, r.outcome, r.reason, r.err)
+					t.Errorf("%s was cut: %d %s %s %v %s", id, r.status, r.outcome, r.reason, r.err, r.body)
 				}
 			}
 		})
--- a/node/node.go
+++ b/node/node.go
@@ -115,6 +115,8 @@
 		ID:      state.MemberID(uuid.NewString()),
 		Service: s.Service,
 		Domain:  s.FailureDomain,
+
+		AnnouncedMS: time.Now().UnixMilli(),
 	}
 	if err := n.listen(); err != nil {
 		n.closeListeners()
--- a/state/core.go
+++ b/state/core.go
@@ -56,6 +56,9 @@
 	Member Member `cbor:"1,keyasint"`
 	// DrainedAt is the offset of the latest drain record plus one.
 	DrainedAt uint64 `cbor:"2,keyasint"`
+	// JoinedAt is the offset of the first announcement that was applied. It
+	// differs between nodes if the log no longer holds the very first.
+	JoinedAt uint64 `cbor:"3,keyasint"`
 }
 
 // Decision is the judgement on one configuration record.
@@ -154,7 +157,7 @@
 		return nil, nil
 	}
 	changes := c.endAddress(offset, m.ControlAddr)
-	c.Members[m.ID] = memberState{Member: m}
+	c.Members[m.ID] = memberState{Member: m, JoinedAt: offset}
 	return append(changes, change{member: m}), nil
 }
 
--- a/state/fold.go
+++ b/state/fold.go
@@ -164,9 +164,9 @@
 func (f *Fold) jump(now time.Time) {
 	f.seq++
 	f.events = nil
-	ids := slices.Sorted(maps.Keys(f.core.Members))
-	if len(ids) > 0 {
-		f.event(change{member: f.core.Members[ids[0]].Member}, now)
+	members := inOrderOfAnnouncement(f.core.Members)
+	if len(members) > 0 {
+		f.event(change{member: members[0]}, now)
 	}
 }
 
--- a/state/member.go
+++ b/state/member.go
@@ -19,7 +19,8 @@
 	CallAddr string `cbor:"5,keyasint"`
 	// CallerAddr is the TCP address for callers (HTTP).
 	CallerAddr string `cbor:"6,keyasint"`
-	// AnnouncedMS is the time of the announcement in Unix milliseconds.
+	// AnnouncedMS is the time at which the incarnation began, in Unix
+	// milliseconds; announcing it again doesn't change it.
 	AnnouncedMS int64 `cbor:"7,keyasint"`
 	// Draining members take no new work.
 	Draining bool `cbor:"8,keyasint"`
--- a/state/transfer.go
+++ b/state/transfer.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -146,13 +147,27 @@
 			f.note([]change{{member: old.Members[id].Member, ended: true}}, now)
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(f.core.Members)) {
-		if _, before := old.Members[id]; !before {
-			f.note([]change{{member: f.core.Members[id].Member}}, now)
+	for _, m := range inOrderOfAnnouncement(f.core.Members) {
+		if _, before := old.Members[m.ID]; !before {
+			f.note([]change{{member: m}}, now)
 		}
 	}
 }
 
+// inOrderOfAnnouncement sorts members as the log holds their announcements, so
+// that the events of a node that adopted a state show the same predecessors as
+// those of a node that read the log.
+func inOrderOfAnnouncement(members map[MemberID]memberState) []Member {
+	sorted := slices.SortedFunc(maps.Values(members), func(a, b memberState) int {
+		return cmp.Or(cmp.Compare(a.JoinedAt, b.JoinedAt), cmp.Compare(a.Member.ID, b.Member.ID))
+	})
+	list := make([]Member, len(sorted))
+	for i, m := range sorted {
+		list[i] = m.Member
+	}
+	return list
+}
+
 // Digest returns a hash over the state that comes from the log. Two nodes that
 // applied the same prefix have equal digests.
 func (f *Fold) Digest() uint64 {
@@ -160,9 +175,19 @@
 	c.Start = 0
 	c.Pending = nil
 	c.Decisions = nil
+	c.Members = withoutJoinedAt(c.Members)
 	data, err := encMode.Marshal(c)
 	if err != nil {
 		panic("state: core is not encodable: " + err.Error())
 	}
 	return RecordHash(data)
 }
+
+func withoutJoinedAt(members map[MemberID]memberState) map[MemberID]memberState {
+	out := make(map[MemberID]memberState, len(members))
+	for id, m := range members {
+		m.JoinedAt = 0
+		out[id] = m
+	}
+	return out
+}
