Tool: a resumed change stays unknown until it is settled

The change was sent before, by the earlier command, so only an outcome that settles it counts now.

lost.txtar was seen to fail without it (exit code 3, want 4).

--- a/cmd/gooseberryctl/apply.go
+++ b/cmd/gooseberryctl/apply.go
@@ -58,8 +58,21 @@
 	if err != nil {
 		return err
 	}
+	p := a.payload(flags, string(text), base)
+	result, err := a.submit(ctx, f, p, flags.changeID != "")
+	if exitCode(err) == exitUnknown {
+		return exitf(exitUnknown, "%w\nthe outcome is unknown; ask again with:\n  gooseberryctl apply --change-id %s --base %d %s",
+			err, p.ChangeID, p.BaseVersion, path)
+	}
+	if err != nil {
+		return err
+	}
+	return a.showChange(path, result)
+}
+
+func (a *app) payload(flags *applyFlags, text string, base uint64) *api.ApplyPayload {
 	p := &api.ApplyPayload{
-		File:        string(text),
+		File:        text,
 		BaseVersion: base,
 		ChangeID:    flags.changeID,
 		DryRun:      flags.dryRun,
@@ -68,15 +81,7 @@
 	if p.ChangeID == "" {
 		p.ChangeID = uuid.NewString()
 	}
-	result, err := a.submit(ctx, f, p)
-	if exitCode(err) == exitUnknown {
-		return exitf(exitUnknown, "%w\nthe outcome is unknown; ask again with:\n  gooseberryctl apply --change-id %s --base %d %s",
-			err, p.ChangeID, p.BaseVersion, path)
-	}
-	if err != nil {
-		return err
-	}
-	return a.showChange(path, result)
+	return p
 }
 
 // checkResumed makes sure that a repeated change keeps its base: with another
--- a/cmd/gooseberryctl/submit.go
+++ b/cmd/gooseberryctl/submit.go
@@ -15,12 +15,16 @@
 	maxPause = 2 * time.Second
 )
 
-// submit sends the change until its outcome is known or ctx ends.
-func (a *app) submit(ctx context.Context, f *fleet, p *api.ApplyPayload) (*api.ChangeResult, error) {
+// submit sends the change until its outcome is known or ctx ends. Resumed tells
+// that it was sent before, by an earlier command.
+func (a *app) submit(ctx context.Context, f *fleet, p *api.ApplyPayload, resumed bool) (*api.ChangeResult, error) {
 	result, err := a.send(ctx, f, p)
-	if !outcomeUnknown(result, err) {
+	if !resumed && !outcomeUnknown(result, err) {
 		return result, err
 	}
+	if err == nil && final(result, p.BaseVersion) {
+		return result, nil
+	}
 	for wait := minPause; pause(ctx, wait); wait = min(2*wait, maxPause) {
 		result, err = a.resolve(ctx, f, p)
 		if err == nil && final(result, p.BaseVersion) {
@@ -35,10 +39,10 @@
 // becomes of the earlier attempt.
 func final(r *api.ChangeResult, base uint64) bool {
 	switch r.Status {
-	case "accepted":
+	case "accepted", "valid":
 		return true
 	case "rejected":
-		return r.Version != base || len(r.Faults) > 0
+		return r.Version > base || len(r.Faults) > 0
 	}
 	return false
 }
