--- a/cmd/gooseberryctl/app.go
+++ b/cmd/gooseberryctl/app.go
@@ -30,7 +30,8 @@
 Flags go before arguments. --admin, --token, --json and --timeout can be given
 to every command or, before it, to gooseberryctl itself, or in the environment:
 GOOSEBERRYCTL_ADMIN, GOOSEBERRYCTL_TOKEN, and so on. Several --admin addresses
-are tried in turn; every command is safe to repeat.
+are tried in turn. Repeating a command is safe; only key issue makes another
+key each time.
 
 EXIT CODES
   0  done
