--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -32,6 +32,8 @@
 	nodes []*testNode
 	// cut reports whether messages between two nodes are lost; nil means none.
 	cut func(a, b *testNode) bool
+	// intervals are those of the nodes started from now on.
+	intervals Intervals
 	// mu guards the counts of messages, requests and answers alike.
 	mu    sync.Mutex
 	sent  map[string]int
@@ -59,6 +61,7 @@
 	due          [4]time.Time
 	version      uint64
 	offset       uint64
+	reads        int
 }
 
 func newFleet(t *testing.T, seed uint64) *fleet {
@@ -111,11 +114,14 @@
 		Now:     func() time.Time { return f.now },
 		Rand:    f.rand.Uint64,
 		OnEnded: func() { node.ended = true },
+
+		Intervals: f.intervals,
 	})
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	s.async = func(work func()) { work() }
+	s.heads.delay = func() {}
 	node.Service = s
 	f.nodes = append(f.nodes, node)
 	s.bootstrap(context.Background())
@@ -151,7 +157,7 @@
 func (n *testNode) work() {
 	ctx := context.Background()
 	steps := [4]func(){
-		func() { _ = n.poll(ctx) },
+		func() { n.readHead(ctx) },
 		func() { n.gossip(ctx) },
 		func() { n.upkeep(ctx) },
 		func() { n.probe(ctx) },
@@ -214,6 +220,7 @@
 	if n.noLog {
 		return platform.Page{}, errCut
 	}
+	n.reads++
 	return n.fleet.log.Stream(streamName).Read(ctx, from, limit)
 }
 
