--- a/claims/model_test.go
+++ b/claims/model_test.go
@@ -93,6 +93,16 @@
 		{"none", true, func(*world, *simNode) {}},
 		{"join", true, func(w *world, n *simNode) { w.join(n.member.Domain) }},
 		{"planned stop", true, func(w *world, n *simNode) { w.resign(n) }},
+		{"planned stops in a row", true, func(w *world, n *simNode) {
+			domain := n.member.Domain
+			for i := range int64(3) {
+				w.at(i*12_000, func() { w.resign(w.inDomain(domain)) })
+			}
+		}},
+		{"replacement", true, func(w *world, n *simNode) {
+			w.join(n.member.Domain)
+			w.at(3000, func() { w.resign(n) })
+		}},
 		{"crash, removed after 1 s", false, func(w *world, n *simNode) {
 			w.stopNode(n)
 			w.at(1000, func() { w.appendEvent(n.member, true) })
--- a/claims/world_test.go
+++ b/claims/world_test.go
@@ -159,6 +159,12 @@
 	return nil
 }
 
+// inDomain returns the oldest node of a failure domain.
+func (w *world) inDomain(domain string) *simNode {
+	i := slices.IndexFunc(w.nodes, func(n *simNode) bool { return n.member.Domain == domain })
+	return w.nodes[i]
+}
+
 func (w *world) join(domain string) *simNode {
 	w.started++
 	m := state.Member{ID: state.MemberID(fmt.Sprintf("m%d", w.started)), Domain: domain}
