Claims: drop notices from before a change of the failure domains

Ruled out: the reset of tenures on a change of the list (the other owner's tenure had been reset in time).

Change: notices are dropped whenever keys may have moved between failure domains, also before the first tenure.

--- a/claims/table.go
+++ b/claims/table.go
@@ -80,7 +80,11 @@
 	if t.resigned {
 		return nil
 	}
-	if t.missed(snap) {
+	rehomed := t.rehomed(snap)
+	if rehomed {
+		clear(t.ends)
+	}
+	if t.started && (rehomed || t.missed(snap)) {
 		t.reset(snap, now)
 	}
 	t.setDomains(snap)
@@ -116,16 +120,18 @@
 }
 
 // missed reports whether the snapshot can't be reached from the last one by
-// its events, or shards may have moved between failure domains.
+// its events.
 func (t *Table) missed(snap *state.Snapshot) bool {
-	if !t.started {
+	return len(snap.Events) > 0 && snap.Events[0].Seq > t.lastSeq+1
+}
+
+// rehomed reports whether keys may have moved between failure domains. A jump
+// over several versions may hide a change of the list and back.
+func (t *Table) rehomed(snap *state.Snapshot) bool {
+	if t.version == 0 && snap.Version <= 1 {
 		return false
 	}
-	first := t.version == 0 && snap.Version <= 1
-	if !first && (snap.Version > t.version+1 || domainsHash(snap) != t.domains) {
-		return true
-	}
-	return len(snap.Events) > 0 && snap.Events[0].Seq > t.lastSeq+1
+	return snap.Version > t.version+1 || domainsHash(snap) != t.domains
 }
 
 // setDomains records the version and the list of failure domains in force.
