Admission: no growth on a base that has just fallen; longer pauses between searches

Cause: when a slow service recovered, latency was far below its base for a few windows and the limit grew by a quarter in each, to five times the slots.

--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -14,8 +14,8 @@
 	easeRatio   = 1.5 // the limit is eased down, or the search for the knee begins
 	searchRatio = 2.5 // the search begins at once
 
-	searchPause = 2 * time.Second // between searches otherwise
-	baseCheck   = 4 * time.Second // without growth after which the search begins
+	searchPause = 4 * time.Second // between searches otherwise
+	baseCheck   = 8 * time.Second // without growth after which the search begins
 
 	slowStartGrowth = 2.0
 	fastGrowth      = 1.25
@@ -32,7 +32,7 @@
 	windowBases      = 4 // base latencies that a window lasts at least
 
 	baseFall   = 0.1  // weight of a lower latency in the base
-	baseDrop   = 0.5  // weight of one below clearlyLow
+	baseDrop   = 0.8  // weight of one below clearlyLow
 	clearlyLow = 0.7  // ratio to the base
 	baseIdle   = 0.1  // weight of a higher latency while the limit isn't used up
 	ratioGain  = 0.5  // weight of the latest window in the smoothed ratio
@@ -165,7 +165,7 @@
 		l.setLimit(l.limit / slowStartGrowth)
 	case bound && l.ratio > easeRatio:
 		l.setLimit(max(l.limit*easeStep, min(l.limit, l.found*searchStep)))
-	case bound && l.ratio <= holdRatio:
+	case bound && l.ratio <= holdRatio && raw >= clearlyLow:
 		l.grow(now)
 	}
 	l.learnBase(bound)
@@ -260,6 +260,7 @@
 		switch {
 		case mean < clearlyLow*r.base:
 			r.base += baseDrop * (mean - r.base)
+			l.ratio = 1 // of the new base
 		case mean < r.base:
 			r.base += baseFall * (mean - r.base)
 		case !bound:
