--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -9,15 +9,13 @@
 	"github.com/gooseberryflow/gooseberryflow/peer"
 )
 
-var thinChain = []string{"auth", "retry", "routing"}
-
 // TestWholePath sends one booking through a fleet: entry node, owner node,
 // upstream, nested calls through the owner node, and back.
 func TestWholePath(t *testing.T) {
 	d := Logistics()
 	fleet, err := Start(context.Background(), FleetOptions{
 		Deployment: d,
-		Chain:      thinChain,
+		Chain:      FullChain,
 		Carrier:    peer.CarrierTLS,
 		Seed:       1,
 		Logger:     slog.New(slog.DiscardHandler),
@@ -26,6 +24,9 @@
 		t.Fatal(err)
 	}
 	defer fleet.Stop()
+	if err := fleet.warmUp(context.Background()); err != nil {
+		t.Fatal(err)
+	}
 	c := newCallers(fleet)
 	for _, kind := range d.Requests {
 		s := c.send(context.Background(), arrival{customer: "customer-1", kind: kind, id: "x7", at: time.Second})
