Admission: a deadline that passes in the queue is told as such

Cause: a call whose deadline passed while it waited was reported as cancelled, so the owner's threshold didn't count it.

Seen to fail first: with the reason of a cancellation.

--- a/admission/owner.go
+++ b/admission/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -72,7 +73,7 @@
 	select {
 	case <-t.wake:
 	case <-ctx.Done():
-		p.giveUp(t, kernel.ReasonCancelled)
+		p.giveUp(t, endedReason(ctx))
 	case <-timer.C:
 		p.giveUp(t, kernel.ReasonOverload)
 	}
@@ -81,6 +82,14 @@
 	return t.Status == StatusRunning
 }
 
+// endedReason tells a deadline that has passed from a caller that has left.
+func endedReason(ctx context.Context) kernel.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return kernel.ReasonDeadline
+	}
+	return kernel.ReasonCancelled
+}
+
 func (p *Plugin) offer(now time.Time, t *Request) Status {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/admission/plugin_test.go
+++ b/admission/plugin_test.go
@@ -55,6 +55,11 @@
 		if r.Load == nil || r.Load.Queued != 0 {
 			t.Errorf("load after the cancellation: %+v", r.Load)
 		}
+		ctx, cancel = context.WithTimeout(t.Context(), waitMin/2)
+		defer cancel()
+		if r := owner.Serve(ctx, rootCall(9)); r.Outcome != kernel.OutcomeNotRun || r.Reason != kernel.ReasonDeadline {
+			t.Errorf("call whose deadline passed in the queue: %v %q", r.Outcome, r.Reason)
+		}
 		close(release)
 		synctest.Wait()
 	})
@@ -281,6 +286,20 @@
 	}
 }
 
+func BenchmarkOwnerAdmitParallel(b *testing.B) {
+	p := newPlugin(b)
+	p.gate.limiter.setLimit(maxLimit)
+	owner := p.WrapOwner(kernel.HandlerFunc(func(context.Context, *kernel.Call) *kernel.Result {
+		return &kernel.Result{Outcome: kernel.OutcomeAnswered, Status: 200}
+	}))
+	b.RunParallel(func(pb *testing.PB) {
+		c := rootCall(1)
+		for pb.Next() {
+			owner.Serve(context.Background(), c)
+		}
+	})
+}
+
 func BenchmarkEntryShed(b *testing.B) {
 	p := newPlugin(b)
 	c := rootCall(1)
