Membership: nodes without a fresh contact append nothing on behalf of all

Change: duties rest while the contact is older than 15 s, and waits by rank begin when it is renewed. At most three records of one withdrawal now. The encoded state is bounded by 8 MB, which fits a frame of the peer transport, and a start asks three first peers at most.

--- a/membership/duties.go
+++ b/membership/duties.go
@@ -25,13 +25,17 @@
 	// outsideSince is when the first of the items that are not in the log was
 	// learned; zero means that there are none.
 	outsideSince time.Time
-	// reachable is when the log could be read again after failed reads. Waits by
-	// rank begin then, or all nodes would append at once after an outage.
+	// reachable is when the log's head was learned again after it could not be.
+	// Waits by rank begin then, or all nodes would append at once after an outage.
 	reachable time.Time
 	// accepted is set while this node owes the log an item that it accepted.
 	accepted bool
 }
 
+// staleContact is the age of the contact with the log from which a node takes
+// the log for away and appends nothing on behalf of all.
+const staleContact = 15 * time.Second
+
 // newDuties spreads the first refresh over the interval, so that it happens
 // also in a fleet whose nodes are replaced faster than it passes.
 func newDuties(now time.Time, rand uint64, refresh time.Duration) duties {
@@ -78,6 +82,24 @@
 	s.removeGone(ctx)
 }
 
+// logAway reports whether this node's contact with the log is stale.
+func (s *Service) logAway(now time.Time) bool {
+	return now.Sub(s.Snapshot().Contact) > staleContact
+}
+
+// confirm records a contact with the log as of a time if every record before
+// next is applied. It is called with mu held.
+func (s *Service) confirm(next uint64, begun time.Time) bool {
+	before := s.Snapshot().Contact
+	if !s.fold.Confirm(next, begun) {
+		return false
+	}
+	if begun.Sub(before) > staleContact {
+		s.duties.reachable = s.o.Now()
+	}
+	return true
+}
+
 // rankWait returns how long this node leaves a duty to those ranked before it.
 func (s *Service) rankWait(purpose string) time.Duration {
 	return time.Duration(rank(s.Snapshot(), s.o.Self.ID, purpose)) * s.o.Intervals.RankDelay
@@ -92,6 +114,9 @@
 	missing, accepted := !s.duties.outsideSince.IsZero(), s.duties.accepted
 	since := s.duties.since(s.duties.outsideSince)
 	s.mu.Unlock()
+	if !accepted && s.logAway(now) {
+		return
+	}
 	if !missing || !accepted && now.Before(since.Add(s.rankWait("outside"))) {
 		return
 	}
@@ -125,7 +150,7 @@
 	fresh := s.fold.Offset() == 0
 	since := s.duties.since(due)
 	s.mu.Unlock()
-	if fresh || now.Before(due) || now.Before(since.Add(s.rankWait("refresh"))) {
+	if fresh || s.logAway(now) || now.Before(due) || now.Before(since.Add(s.rankWait("refresh"))) {
 		return
 	}
 	s.mu.Lock()
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -62,6 +62,7 @@
 	version      uint64
 	offset       uint64
 	reads        int
+	appends      int
 }
 
 func newFleet(t *testing.T, seed uint64) *fleet {
@@ -205,6 +206,7 @@
 
 // Append implements platform.Log.
 func (n *testNode) Append(ctx context.Context, data []byte) (uint64, error) {
+	n.appends++
 	if hook := n.beforeAppend; hook != nil {
 		n.beforeAppend = nil
 		hook()
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -25,6 +25,9 @@
 	ownDomainScale = 4
 	// fanout is the number of peers to which news is forwarded at once.
 	fanout = 3
+	// bootstrapTries is the number of first peers asked at the start; gossip
+	// goes on with the others.
+	bootstrapTries = 3
 	// maxRelayBytes bounds the records in one message; the first is always sent.
 	maxRelayBytes = 64 << 10
 )
@@ -294,7 +297,8 @@
 
 // bootstrap fetches the state from one of the first peers, if any answers.
 func (s *Service) bootstrap(ctx context.Context) {
-	for _, to := range s.firstPeers() {
+	peers := s.firstPeers()
+	for _, to := range peers[:min(bootstrapTries, len(peers))] {
 		if s.fetchState(ctx, to) {
 			return
 		}
--- a/membership/head.go
+++ b/membership/head.go
@@ -139,7 +139,7 @@
 	if s.rereading() {
 		return false, errRelay
 	}
-	if s.fold.Confirm(next, begun) {
+	if s.confirm(next, begun) {
 		return true, nil
 	}
 	if s.fold.Offset() <= before {
--- a/membership/head_test.go
+++ b/membership/head_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gooseberryflow/gooseberryflow/platform/standin"
+	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
 // contactTarget is the greatest age of a node's contact with a log that can be
@@ -139,6 +140,30 @@
 	}
 }
 
+func TestOneNodeAppendsAfterALongOutage(t *testing.T) {
+	f, _ := largeFleet(t, 73)
+	f.log.SetFaults(standin.Faults{Down: true})
+	if err := f.nodes[0].Withdraw(context.Background(), "key-1"); err != nil {
+		t.Fatal(err)
+	}
+	f.run(staleContact + time.Second)
+	f.nodes[0].down = true
+	for _, n := range f.nodes {
+		n.appends = 0
+	}
+	f.run(2 * time.Minute)
+	for _, n := range f.nodes {
+		if n.appends > 0 {
+			t.Errorf("%s tried %d appends during the outage", n.member.ID, n.appends)
+		}
+	}
+	f.log.SetFaults(standin.Faults{})
+	f.run(2 * time.Minute)
+	if n := len(records[state.WithdrawRecord](f)); n == 0 || n > 3 {
+		t.Errorf("%d records of one withdrawal", n)
+	}
+}
+
 func TestConfigSpreadsByGossipAlone(t *testing.T) {
 	for seed := uint64(80); seed < 85; seed++ {
 		f := newFleet(t, seed)
--- a/membership/liveness.go
+++ b/membership/liveness.go
@@ -63,6 +63,9 @@
 // goneMembers returns the members whose removal is due at this node.
 func (s *Service) goneMembers() []state.MemberID {
 	now := s.o.Now()
+	if s.logAway(now) {
+		return nil
+	}
 	snap := s.Snapshot()
 	domain := snap.Domain(s.o.Self.Domain)
 	s.mu.Lock()
--- a/membership/poll.go
+++ b/membership/poll.go
@@ -180,7 +180,7 @@
 		}
 		return false, nil
 	}
-	s.fold.Confirm(page.Next, begun)
+	s.confirm(page.Next, begun)
 	return true, nil
 }
 
--- a/state/transfer.go
+++ b/state/transfer.go
@@ -11,7 +11,7 @@
 )
 
 // MaxStateBytes bounds an encoded state.
-const MaxStateBytes = 16 << 20
+const MaxStateBytes = 8 << 20
 
 // maxStateLen bounds each collection in an encoded state.
 const maxStateLen = 1 << 17
