--- a/membership/duties_test.go
+++ b/membership/duties_test.go
@@ -20,3 +20,17 @@
 		t.Error("a refresh did not count")
 	}
 }
+
+func TestRenewedContactRestartsTheWaits(t *testing.T) {
+	f := newFleet(t, 90)
+	n := f.start("west-a")
+	f.now = f.now.Add(time.Minute)
+	n.confirm(0, f.now)
+	n.publish()
+	renewed := f.now
+	f.now = f.now.Add(time.Second)
+	n.confirm(0, f.now)
+	if !n.duties.reachable.Equal(renewed) || !n.duties.since(renewed.Add(-time.Hour)).Equal(renewed) {
+		t.Fatalf("waits begin at %v, want %v", n.duties.reachable, renewed)
+	}
+}
