State: draining spreads also while the log is away

Ruled out: an own message for it; withdrawals and resignations have a way. Change: one set of items outside the log (withdrawn, resigned, draining) with one merge, hash and list of records. A start of draining takes effect at once and is appended when the log is back; its end needs the log. Once a peer has the news, the log is waited for only as long as a peer.

--- a/membership/duties.go
+++ b/membership/duties.go
@@ -9,8 +9,8 @@
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
-// listChunk bounds the IDs or keys in one record of a refresh.
-const listChunk = 1024
+// keysChunk bounds the keys in one record of a refresh.
+const keysChunk = 512
 
 // unknownRefreshes is the number of refresh intervals after which a node whose
 // version is unknown writes a refresh with what it has. By then every node
@@ -105,12 +105,12 @@
 	return time.Duration(rank(s.Snapshot(), s.o.Self.ID, purpose)) * s.o.Intervals.RankDelay
 }
 
-// appendOutside appends withdrawals and resignations that the log lacks.
+// appendOutside appends what was told outside the log and is not in it.
 func (s *Service) appendOutside(ctx context.Context) {
 	now := s.o.Now()
 	s.mu.Lock()
-	withdrawn, resigned := s.fold.Outside()
-	s.duties.outside(len(withdrawn)+len(resigned) > 0, now)
+	outside := s.fold.Outside()
+	s.duties.outside(!outside.Empty(), now)
 	missing, accepted := !s.duties.outsideSince.IsZero(), s.duties.accepted
 	since := s.duties.since(s.duties.outsideSince)
 	s.mu.Unlock()
@@ -120,24 +120,13 @@
 	if !missing || !accepted && now.Before(since.Add(s.rankWait("outside"))) {
 		return
 	}
-	if err := s.appendAll(ctx, outsideRecords(withdrawn, resigned)); err != nil {
-		s.o.Logger.Warn("withdrawals and resignations are not in the log yet", "error", err)
+	if err := s.appendAll(ctx, outside.Records()); err != nil {
+		s.o.Logger.Warn("what was told outside the log is not in it yet", "error", err)
 		return
 	}
 	_ = s.poll(ctx)
 }
 
-func outsideRecords(withdrawn []string, resigned []state.MemberID) []state.Record {
-	var records []state.Record
-	for ids := range slices.Chunk(withdrawn, listChunk) {
-		records = append(records, state.WithdrawRecord{KeyIDs: ids})
-	}
-	for _, id := range resigned {
-		records = append(records, state.EndRecord{ID: id, By: id, Reason: state.EndResigned})
-	}
-	return records
-}
-
 // refresh appends the withdrawals, the issued keys and the configuration again
 // before the log forgets them.
 func (s *Service) refresh(ctx context.Context) {
@@ -167,11 +156,8 @@
 // since it marks the refresh as done.
 func refreshRecords(f *state.Fold) []state.Record {
 	snap := f.Snapshot()
-	var records []state.Record
-	for ids := range slices.Chunk(slices.Sorted(maps.Keys(snap.Withdrawn)), listChunk) {
-		records = append(records, state.WithdrawRecord{KeyIDs: ids})
-	}
-	for keys := range slices.Chunk(f.IssuedKeys(), listChunk) {
+	records := state.Outside{Withdrawn: slices.Sorted(maps.Keys(snap.Withdrawn))}.Records()
+	for keys := range slices.Chunk(f.IssuedKeys(), keysChunk) {
 		records = append(records, state.KeysRecord{Keys: keys})
 	}
 	return append(records, state.RefreshRecord{
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/gooseberryflow/gooseberryflow/kernel"
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
@@ -49,9 +46,8 @@
 
 // news is what one node has and another lacks.
 type news struct {
-	Records   []wireRecord     `cbor:"1,keyasint,omitempty"`
-	Withdrawn []string         `cbor:"2,keyasint,omitempty"`
-	Resigned  []state.MemberID `cbor:"3,keyasint,omitempty"`
+	Records []wireRecord  `cbor:"1,keyasint,omitempty"`
+	Outside state.Outside `cbor:"2,keyasint"`
 	// Whole says that the records needed are gone and the state must be
 	// fetched as a whole.
 	Whole bool `cbor:"4,keyasint,omitempty"`
@@ -60,7 +56,7 @@
 }
 
 func (n news) empty() bool {
-	return len(n.Records) == 0 && len(n.Withdrawn) == 0 && len(n.Resigned) == 0 && !n.Diverged
+	return len(n.Records) == 0 && n.Outside.Empty() && !n.Diverged
 }
 
 type gossipRequest struct {
@@ -167,45 +163,20 @@
 		Offset:   s.fold.Offset(),
 		Version:  s.fold.Version(),
 		Last:     s.fold.LastHash(),
-		Outside:  outsideHash(s.fold.Outside()),
+		Outside:  s.fold.Outside().Hash(),
 		Closed:   s.rereading(),
 		Suspects: s.detector.suspects(now),
 		Hearsay:  s.hearsay(now),
 	}
 }
 
-// outsideHash identifies a set of items; zero is the empty set.
-func outsideHash(withdrawn []string, resigned []state.MemberID) uint64 {
-	if len(withdrawn)+len(resigned) == 0 {
-		return 0
-	}
-	var d xxhash.Digest
-	for _, id := range withdrawn {
-		hashItem(&d, 'w', id)
-	}
-	for _, id := range resigned {
-		hashItem(&d, 'r', string(id))
-	}
-	return d.Sum64()
-}
-
-func hashItem(d *xxhash.Digest, kind byte, id string) {
-	var head [9]byte
-	head[0] = kind
-	binary.BigEndian.PutUint64(head[1:], uint64(len(id)))
-	_, _ = d.Write(head[:])
-	_, _ = d.WriteString(id)
-}
-
 // newsFor returns what this node has and the sender of a digest lacks.
 func (s *Service) newsFor(d digest) news {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var n news
-	withdrawn, resigned := s.fold.Outside()
-	if outsideHash(withdrawn, resigned) != d.Outside {
-		n.Withdrawn = withdrawn[:min(len(withdrawn), state.MaxListLen)]
-		n.Resigned = resigned[:min(len(resigned), state.MaxListLen)]
+	if o := s.fold.Outside(); o.Hash() != d.Outside {
+		n.Outside = o.Limit()
 	}
 	if d.Closed || s.rereading() || d.Offset > s.fold.Offset() {
 		return n
@@ -240,7 +211,7 @@
 // take merges news from a peer and forwards what must spread at once.
 func (s *Service) take(n news) {
 	fresh := s.merge(n)
-	if fresh.empty() {
+	if fresh.Empty() {
 		return
 	}
 	s.async(func() { s.spread(context.Background(), fresh, fanout) })
@@ -248,7 +219,7 @@
 
 // merge applies news and returns the part of it that lies outside the log and
 // was new.
-func (s *Service) merge(n news) news {
+func (s *Service) merge(n news) state.Outside {
 	now := s.o.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -257,14 +228,7 @@
 	if n.Diverged {
 		s.diverged()
 	}
-	var fresh news
-	if s.fold.Withdraw(n.Withdrawn) {
-		fresh.Withdrawn = n.Withdrawn
-	}
-	if s.fold.Resigned(n.Resigned, now) {
-		fresh.Resigned = n.Resigned
-	}
-	return fresh
+	return s.fold.Merge(n.Outside, now)
 }
 
 // mergeRecords applies relayed records that follow this node's prefix. It is
@@ -284,11 +248,11 @@
 	}
 }
 
-// spread pushes news to some random peers and returns how many took it.
-func (s *Service) spread(ctx context.Context, n news, peers int) int {
+// spread pushes items to some random peers and returns how many took them.
+func (s *Service) spread(ctx context.Context, o state.Outside, peers int) int {
 	taken := 0
 	for _, to := range s.randomPeers(peers) {
-		if s.push(ctx, to, n) {
+		if s.push(ctx, to, news{Outside: o}) {
 			taken++
 		}
 	}
--- a/membership/head.go
+++ b/membership/head.go
@@ -162,8 +162,8 @@
 	s.mu.Lock()
 	resp := headResponse{Known: !s.rereading(), Next: s.fold.Offset()}
 	s.mu.Unlock()
-	n := s.newsFor(digest{Offset: req.Offset, Last: req.Last})
-	resp.News = news{Records: n.Records, Whole: n.Whole, Diverged: n.Diverged}
+	resp.News = s.newsFor(digest{Offset: req.Offset, Last: req.Last})
+	resp.News.Outside = state.Outside{}
 	if req.Offset > resp.Next {
 		// The asker has records that the log does not.
 		resp.News.Diverged = true
--- a/membership/operate.go
+++ b/membership/operate.go
@@ -26,9 +26,9 @@
 // appendTries is the number of times an append without answer is repeated.
 const appendTries = 3
 
-// withdrawFanout is the number of peers that are told of a withdrawal or a
-// resignation by the node that accepts it.
-const withdrawFanout = 8
+// acceptFanout is the number of peers that a node tells at once of what it
+// accepts outside the log.
+const acceptFanout = 8
 
 // IssueKey appends a key and returns once it is in force here.
 func (s *Service) IssueKey(ctx context.Context, key config.Key) error {
@@ -56,26 +56,27 @@
 	if _, err := state.Encode(record); err != nil {
 		return fmt.Errorf("withdraw key: %w", err)
 	}
-	s.accept(news{Withdrawn: record.KeyIDs})
-	if err := s.spreadAndAppend(ctx, news{Withdrawn: record.KeyIDs}, record); err != nil {
+	if err := s.tell(ctx, state.Outside{Withdrawn: record.KeyIDs}, record); err != nil {
 		return fmt.Errorf("withdraw key %s: %w", keyID, err)
 	}
 	return nil
 }
 
-// accept merges what an operator or this node says outside the log, and takes
-// on to append it.
-func (s *Service) accept(n news) {
-	s.merge(n)
+// tell merges what an operator or this node says outside the log, passes it on
+// to peers, and appends its record now or when the log is back. It fails only
+// if neither a peer nor the log took it.
+func (s *Service) tell(ctx context.Context, o state.Outside, r state.Record) error {
+	s.merge(news{Outside: o})
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.duties.accepted = true
-}
-
-// spreadAndAppend passes news on to peers and appends its record. It fails
-// only if both fail.
-func (s *Service) spreadAndAppend(ctx context.Context, n news, r state.Record) error {
-	told := s.spread(ctx, n, withdrawFanout)
+	s.mu.Unlock()
+	told := s.spread(ctx, o, acceptFanout)
+	if told > 0 {
+		// Upkeep appends the record if the log does not answer soon.
+		short, cancel := s.o.peerContext(ctx)
+		defer cancel()
+		ctx = short
+	}
 	err := s.appendAndRead(ctx, r)
 	if err == nil || told > 0 {
 		return nil
@@ -83,17 +84,27 @@
 	return fmt.Errorf("%w: %w", ErrNotSpread, err)
 }
 
-// SetDraining starts or stops the draining of a member.
+// SetDraining starts or stops the draining of a member. A start takes effect
+// here at once and is passed on to peers also while the log is away; a stop
+// needs the log.
 func (s *Service) SetDraining(ctx context.Context, id state.MemberID, draining bool) error {
 	if _, ok := s.Snapshot().Members[id]; !ok {
 		return fmt.Errorf("drain %s: %w", id, ErrNoMember)
 	}
-	if err := s.appendAndRead(ctx, state.DrainRecord{ID: id, Draining: draining}); err != nil {
+	record := state.DrainRecord{ID: id, Draining: draining}
+	if err := s.setDraining(ctx, record); err != nil {
 		return fmt.Errorf("drain %s: %w", id, err)
 	}
 	return nil
 }
 
+func (s *Service) setDraining(ctx context.Context, r state.DrainRecord) error {
+	if !r.Draining {
+		return s.appendAndRead(ctx, r)
+	}
+	return s.tell(ctx, state.Outside{Draining: []state.MemberID{r.ID}}, r)
+}
+
 // Remove ends an incarnation through the log. It fails while the log is away:
 // a member that can still read the log must find its end there.
 func (s *Service) Remove(ctx context.Context, id state.MemberID) error {
@@ -111,10 +122,8 @@
 	s.mu.Lock()
 	s.leaving = true
 	s.mu.Unlock()
-	n := news{Resigned: []state.MemberID{self}}
-	s.accept(n)
 	record := state.EndRecord{ID: self, By: self, Reason: state.EndResigned}
-	if err := s.spreadAndAppend(ctx, n, record); err != nil {
+	if err := s.tell(ctx, state.Outside{Resigned: []state.MemberID{self}}, record); err != nil {
 		return fmt.Errorf("resign: %w", err)
 	}
 	return nil
--- a/membership/outage_test.go
+++ b/membership/outage_test.go
@@ -145,11 +145,74 @@
 	if !f.nodes[1].Snapshot().Members[id].Draining {
 		t.Fatal("the node's own announcement undid the drain")
 	}
+	if err := f.nodes[0].SetDraining(context.Background(), id, false); err != nil {
+		t.Fatal(err)
+	}
+	f.run(2 * DefaultRefreshInterval)
+	if f.nodes[1].Snapshot().Members[id].Draining {
+		t.Fatal("the drain can't be undone")
+	}
 	if err := f.nodes[0].SetDraining(context.Background(), "nobody", true); !errors.Is(err, ErrNoMember) {
 		t.Fatal(err)
 	}
 }
 
+func TestDrainingDuringAnOutage(t *testing.T) {
+	ctx := context.Background()
+	f := newFleet(t, 29)
+	f.startAll(8, "west-a", "west-b")
+	id := f.nodes[0].member.ID
+	f.log.SetFaults(standin.Faults{Down: true})
+	if err := f.nodes[0].SetDraining(ctx, id, true); err != nil {
+		t.Fatal(err)
+	}
+	f.run(3 * time.Second)
+	for _, n := range f.nodes {
+		if !n.Snapshot().Members[id].Draining {
+			t.Errorf("%s: not told", n.member.ID)
+		}
+	}
+	if err := f.nodes[1].SetDraining(ctx, id, false); err == nil {
+		t.Error("the end of a drain is not refused while the log is away")
+	}
+	f.nodes[0].down = true
+	f.log.SetFaults(standin.Faults{})
+	f.run(30 * time.Second)
+	if drains := records[state.DrainRecord](f); len(drains) == 0 || !drains[0].Draining {
+		t.Fatalf("drains in the log: %+v", drains)
+	}
+	if err := f.nodes[1].SetDraining(ctx, id, false); err != nil {
+		t.Fatal(err)
+	}
+	f.run(5 * time.Second)
+	if f.nodes[2].Snapshot().Members[id].Draining {
+		t.Error("the drain can't be undone after the outage")
+	}
+}
+
+// hangingLog answers no append before the caller gives up.
+type hangingLog struct{ platform.Log }
+
+func (l *hangingLog) Append(ctx context.Context, _ []byte) (uint64, error) {
+	<-ctx.Done()
+	return 0, errors.Join(platform.ErrOutcomeUnknown, ctx.Err())
+}
+
+func TestHangingLogHoldsUpNoWithdrawal(t *testing.T) {
+	f := newFleet(t, 30)
+	f.startAll(3, "west-a")
+	n := f.nodes[0]
+	n.o.Log = &hangingLog{n.o.Log}
+	n.o.Intervals.LogTimeout = time.Hour
+	n.o.Intervals.PeerTimeout = time.Millisecond
+	if err := n.Withdraw(context.Background(), "key-1"); err != nil {
+		t.Fatal(err)
+	}
+	if !f.nodes[1].Snapshot().Withdrawn["key-1"] {
+		t.Fatal("peers were not told")
+	}
+}
+
 // shortLog answers reads with fewer records than its head promises.
 type shortLog struct {
 	platform.Log
--- a/state/fold.go
+++ b/state/fold.go
@@ -17,16 +17,17 @@
 var ErrGap = errors.New("record does not follow the applied prefix")
 
 // Fold applies the records of the log in order and keeps the snapshot. What
-// came from the log is a pure function of the applied prefix. Withdrawals and
-// resignations that were learned from peers are monotone sets kept beside it
-// and merged into the snapshot. A Fold is not safe for concurrent use.
+// came from the log is a pure function of the applied prefix. Items learned
+// from peers outside the log are kept beside it and merged into the snapshot. A Fold is not safe for concurrent use.
 type Fold struct {
 	parse Parse
 	core  core
 	cfg   *config.Config
-	// withdrawn and resigned hold what is not in the applied prefix yet.
+	// withdrawn, resigned and draining hold what is not in the applied prefix
+	// yet; see Outside.
 	withdrawn map[string]bool
 	resigned  map[MemberID]bool
+	draining  map[MemberID]bool
 	events    []RosterEvent
 	seq       uint64
 	contact   time.Time
@@ -41,6 +42,7 @@
 		core:      newCore(),
 		withdrawn: map[string]bool{},
 		resigned:  map[MemberID]bool{},
+		draining:  map[MemberID]bool{},
 		dirty:     true,
 	}
 }
@@ -100,19 +102,35 @@
 		changes, err := f.core.announce(offset, r)
 		f.dirty = f.dirty || f.core.Members[r.Member.ID] != before
 		f.note(changes, now)
+		f.forgetAnnounced(r.Member.ID, changes)
 		return err
 	case EndRecord:
 		f.note(f.core.end(offset, r.ID), now)
 		delete(f.resigned, r.ID)
+		delete(f.draining, r.ID)
 		f.dirty = true
 		return nil
 	case DrainRecord:
 		f.dirty = true
+		delete(f.draining, r.ID)
 		return f.core.drain(offset, r)
 	}
 	panic(fmt.Sprintf("state: no rule for %T", rec))
 }
 
+// forgetAnnounced drops the items that an announcement brought into the log.
+func (f *Fold) forgetAnnounced(id MemberID, changes []change) {
+	if f.core.Members[id].Member.Draining {
+		delete(f.draining, id)
+	}
+	for _, c := range changes {
+		if c.ended {
+			delete(f.resigned, c.member.ID)
+			delete(f.draining, c.member.ID)
+		}
+	}
+}
+
 func (f *Fold) install(cfg *config.Config) {
 	if cfg != nil {
 		f.cfg = cfg
@@ -170,40 +188,6 @@
 	}
 }
 
-// Withdraw merges withdrawals that were learned outside the log. It reports
-// whether any was new.
-func (f *Fold) Withdraw(ids []string) bool {
-	changed := false
-	for _, id := range ids {
-		if checkIDs(id) != nil || f.core.Withdrawn[id] || f.withdrawn[id] {
-			continue
-		}
-		f.withdrawn[id] = true
-		f.dirty = true
-		changed = true
-	}
-	return changed
-}
-
-// Resigned merges resignations that were learned outside the log. It reports
-// whether any was new. Removals are never merged in this way: a member may
-// confirm its contact with the log as long as its end is not in the log.
-func (f *Fold) Resigned(ids []MemberID, now time.Time) bool {
-	changed := false
-	for _, id := range ids {
-		if _, ended := f.core.Ended[id]; ended || f.resigned[id] || checkIDs(string(id)) != nil {
-			continue
-		}
-		if m, live := f.core.Members[id]; live {
-			f.event(change{member: m.Member, ended: true}, now)
-		}
-		f.resigned[id] = true
-		f.dirty = true
-		changed = true
-	}
-	return changed
-}
-
 // IssuedKeys returns the keys issued by key records, ordered by ID.
 func (f *Fold) IssuedKeys() []IssuedKey {
 	var keys []IssuedKey
@@ -213,12 +197,6 @@
 	return keys
 }
 
-// Outside returns what was learned outside the log and is not in the applied
-// prefix yet, sorted.
-func (f *Fold) Outside() (withdrawn []string, resigned []MemberID) {
-	return slices.Sorted(maps.Keys(f.withdrawn)), slices.Sorted(maps.Keys(f.resigned))
-}
-
 // Confirm records a contact with the log: a read begun at the given time found
 // next to be its first free offset. It is ignored unless every record before
 // next has been applied.
@@ -260,6 +238,7 @@
 	maps.Copy(s.Withdrawn, f.withdrawn)
 	for id, m := range f.core.Members {
 		if !f.resigned[id] {
+			m.Member.Draining = m.Member.Draining || f.draining[id]
 			s.Members[id] = m.Member
 		}
 	}
--- a/state/fold_test.go
+++ b/state/fold_test.go
@@ -186,7 +186,7 @@
 	h := newHistory(t)
 	h.must(AnnounceRecord{Member: member(1)})
 	h.must(AnnounceRecord{Member: member(2)})
-	h.full.Resigned([]MemberID{"m2"}, epoch)
+	h.full.Merge(Outside{Resigned: []MemberID{"m2"}}, epoch)
 	h.must(EndRecord{ID: "m2", By: "m2", Reason: EndResigned})
 	h.must(AnnounceRecord{Member: member(1), Seen: 3})
 	events := h.full.Snapshot().Events
@@ -295,9 +295,9 @@
 	}
 	switch r := rec.(type) {
 	case WithdrawRecord:
-		f.Withdraw(r.KeyIDs)
+		f.Merge(Outside{Withdrawn: r.KeyIDs}, epoch)
 	case EndRecord:
-		f.Resigned([]MemberID{r.ID}, epoch)
+		f.Merge(Outside{Resigned: []MemberID{r.ID}}, epoch)
 	}
 }
 
--- a/state/transfer.go
+++ b/state/transfer.go
@@ -23,16 +23,14 @@
 
 // transfer is the encoded form of a whole state.
 type transfer struct {
-	Format    uint8      `cbor:"1,keyasint"`
-	Core      core       `cbor:"2,keyasint"`
-	Withdrawn []string   `cbor:"3,keyasint"`
-	Resigned  []MemberID `cbor:"4,keyasint"`
+	Format  uint8   `cbor:"1,keyasint"`
+	Core    core    `cbor:"2,keyasint"`
+	Outside Outside `cbor:"3,keyasint"`
 }
 
 // Export encodes the whole state for a node that can't read the log.
 func (f *Fold) Export() ([]byte, error) {
-	withdrawn, resigned := f.Outside()
-	data, err := encMode.Marshal(transfer{Format: recordFormat, Core: f.core, Withdrawn: withdrawn, Resigned: resigned})
+	data, err := encMode.Marshal(transfer{Format: recordFormat, Core: f.core, Outside: f.Outside()})
 	if err != nil {
 		return nil, fmt.Errorf("encode state: %w", err)
 	}
@@ -61,8 +59,7 @@
 		}
 	}
 	f.replace(t.Core, cfg, now)
-	f.Withdraw(t.Withdrawn)
-	f.Resigned(t.Resigned, now)
+	f.Merge(t.Outside, now)
 	return nil
 }
 
@@ -120,7 +117,7 @@
 	f.core = next
 	f.cfg = cfg
 	f.dirty = true
-	f.Withdraw(slices.Collect(maps.Keys(old.Withdrawn)))
+	f.Merge(Outside{Withdrawn: slices.Collect(maps.Keys(old.Withdrawn))}, now)
 	for id, at := range old.Ended {
 		if _, known := f.core.Ended[id]; !known && at+endWindow >= next.Offset {
 			f.core.Ended[id] = at
@@ -135,9 +132,7 @@
 // pruneOutside forgets what the log prefix contains by now.
 func (f *Fold) pruneOutside() {
 	f.forgetWithdrawn(slices.Collect(maps.Keys(f.core.Withdrawn)))
-	for id := range f.core.Ended {
-		delete(f.resigned, id)
-	}
+	f.forgetEnded()
 }
 
 func (f *Fold) noteDifferences(old core, now time.Time) {
--- a/state/transfer_test.go
+++ b/state/transfer_test.go
@@ -42,7 +42,7 @@
 	h.must(AnnounceRecord{Member: member(1)})
 	h.must(EndRecord{ID: "m1", By: "m2", Reason: EndRemoved})
 	h.must(WithdrawRecord{KeyIDs: []string{"mine"}})
-	h.full.Withdraw([]string{"told", "logged"})
+	h.full.Merge(Outside{Withdrawn: []string{"told", "logged"}}, epoch)
 	h.full.Confirm(3, epoch)
 	// The donor's log lost the end and the withdrawal.
 	donor := newHistory(t)
@@ -50,7 +50,7 @@
 		donor.must(AnnounceRecord{Member: member(n)})
 	}
 	donor.must(WithdrawRecord{KeyIDs: []string{"logged"}})
-	donor.full.Resigned([]MemberID{"m3"}, epoch)
+	donor.full.Merge(Outside{Resigned: []MemberID{"m3"}, Draining: []MemberID{"m2"}}, epoch)
 	donor.full.Confirm(5, epoch.Add(1))
 	if err := h.full.Adopt(exported(t, donor.full), epoch); err != nil {
 		t.Fatal(err)
@@ -67,7 +67,10 @@
 	if !s.Contact.Equal(epoch) {
 		t.Errorf("a peer's contact was taken over: %v", s.Contact)
 	}
-	if outside, _ := h.full.Outside(); len(outside) != 2 || outside[0] != "mine" || outside[1] != "told" {
-		t.Errorf("not in the log: %v", outside)
+	if !s.Members["m2"].Draining {
+		t.Error("m2 does not drain")
+	}
+	if w := h.full.Outside().Withdrawn; len(w) != 2 || w[0] != "mine" || w[1] != "told" {
+		t.Errorf("not in the log: %v", w)
 	}
 }
