--- a/state/outside.go
+++ b/state/outside.go
@@ -36,10 +36,10 @@
 	if o.Empty() {
 		return 0
 	}
-	var d xxhash.Digest
-	hashItems(&d, 'w', o.Withdrawn)
-	hashItems(&d, 'r', o.Resigned)
-	hashItems(&d, 'd', o.Draining)
+	d := xxhash.New()
+	hashItems(d, 'w', o.Withdrawn)
+	hashItems(d, 'r', o.Resigned)
+	hashItems(d, 'd', o.Draining)
 	return d.Sum64()
 }
 
--- a/state/outside_test.go
+++ b/state/outside_test.go
@@ -39,6 +39,7 @@
 		{Withdrawn: []string{"a"}},
 		{Resigned: []MemberID{"a"}},
 		{Draining: []MemberID{"a"}},
+		{Draining: []MemberID{"b"}},
 		{Withdrawn: []string{"a", "b"}},
 		{Withdrawn: []string{"ab"}},
 	} {
