--- a/ratelimit/entry.go
+++ b/ratelimit/entry.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/gooseberryflow/gooseberryflow/config"
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
@@ -42,31 +41,6 @@
 	customers sync.Map
 }
 
-// entryCustomer is a customer's leases, one for each failure domain; the first
-// is this node's own domain.
-type entryCustomer struct {
-	mu      sync.Mutex
-	config  *config.Config
-	sources []*source
-	demand  demand
-	waiting int
-}
-
-// source is the pool of one failure domain as seen by an entry node.
-type source struct {
-	domain string
-	lease  lease
-	// pending is the Seq of the ask that waits for its answer; zero if none.
-	pending uint64
-	sent    time.Time
-	owner   state.MemberID
-	// waited is set when requests waited for the pending ask.
-	waited bool
-	// blocked is the time before which no ask is sent, full that before which
-	// none is sent to fill up a lease.
-	blocked, full time.Time
-}
-
 // Stands reports whether an admission decided at one time still stands at the
 // time when the request goes on; the process may have been paused in between.
 func (d Decision) Stands(decided, now time.Time, t Timing) bool {
@@ -138,44 +112,6 @@
 	return c.(*entryCustomer)
 }
 
-// take spends a token of the fullest lease.
-func (c *entryCustomer) take(now time.Time) (Decision, bool) {
-	var fullest *lease
-	for _, s := range c.sources {
-		s.lease.fill(now)
-		if fullest == nil || s.lease.level > fullest.level {
-			fullest = &s.lease
-		}
-	}
-	if fullest == nil || !fullest.take(now) {
-		return Decision{}, false
-	}
-	return Decision{Verdict: Admit, Until: fullest.expires}, true
-}
-
-// follow takes over the list of failure domains of the configuration in force.
-func (c *entryCustomer) follow(snap *state.Snapshot, own string) {
-	if c.config == snap.Config || snap.Config == nil {
-		return
-	}
-	c.config = snap.Config
-	kept := make(map[string]*source)
-	for _, s := range c.sources {
-		kept[s.domain] = s
-	}
-	c.sources = nil
-	for _, d := range snap.Config.FailureDomains {
-		s := kept[d]
-		if s == nil {
-			s = &source{domain: d}
-		}
-		c.sources = append(c.sources, s)
-		if last := len(c.sources) - 1; d == own && last > 0 {
-			c.sources[0], c.sources[last] = c.sources[last], c.sources[0]
-		}
-	}
-}
-
 // asks asks the home pool, or the others when the home pool has nothing or
 // does not answer. The others are asked one at a time; to fill up leases only
 // if they have leased a rate.
@@ -239,53 +175,6 @@
 	}}, true
 }
 
-// want is the demand that the other leases do not cover.
-func (c *entryCustomer) want(s *source, now time.Time) (rate, burst float64) {
-	rate = c.demand.rate(now)
-	if rate < minDemand && c.waiting == 0 {
-		return 0, 0
-	}
-	for _, o := range c.sources {
-		if o != s {
-			o.lease.fill(now)
-			rate -= o.lease.rate
-		}
-	}
-	rate = max(0, rate)
-	if rate == 0 && c.waiting == 0 {
-		return 0, 0
-	}
-	burst = rate*burstWindow.Seconds() + float64(c.waiting)
-	if rate > 0 {
-		burst++
-	}
-	return rate, burst
-}
-
-// expects reports whether an answer may arrive within the wait of a request.
-func (c *entryCustomer) expects(now time.Time, t Timing) bool {
-	for _, s := range c.sources {
-		if s.pending != 0 && now.Sub(s.sent) < t.Wait {
-			return true
-		}
-	}
-	return false
-}
-
-// refusal estimates when the next token comes.
-func (c *entryCustomer) refusal(now time.Time, t Timing) Decision {
-	wait := t.MaxRetry
-	for _, s := range c.sources {
-		if d, ok := s.lease.tokenIn(); ok {
-			wait = min(wait, d)
-		}
-		if now.Before(s.blocked) {
-			wait = min(wait, s.blocked.Sub(now))
-		}
-	}
-	return Decision{Verdict: Refuse, RetryAfter: max(wait, time.Millisecond)}
-}
-
 // Granted takes in the answer to an ask. Only the answer to the latest ask
 // counts: a later ask has given up the earlier.
 func (e *Entry) Granted(domain, customer string, from state.MemberID, g Grant, now time.Time) {
@@ -309,15 +198,6 @@
 	}
 }
 
-// pause blocks further asks. An ask for which no request waited tells nothing
-// about one for which requests do.
-func (s *source) pause(until time.Time) {
-	s.full = until
-	if s.waited {
-		s.blocked = until
-	}
-}
-
 // Failed takes in that an ask got no answer.
 func (e *Entry) Failed(domain, customer string, seq uint64, now time.Time) {
 	c := e.customer(customer)
@@ -331,15 +211,6 @@
 	s.blocked = now.Add(e.timing.MaxRetry / leaseRetryPart)
 }
 
-func (c *entryCustomer) source(domain string) *source {
-	for _, s := range c.sources {
-		if s.domain == domain {
-			return s
-		}
-	}
-	return nil
-}
-
 // Tick returns the asks that renew or give back leases, ordered by customer.
 func (e *Entry) Tick(snap *state.Snapshot, now time.Time) []OutgoingAsk {
 	var names []string
--- /dev/null
+++ b/ratelimit/source.go
@@ -0,0 +1,137 @@
+package ratelimit
+
+import (
+	"sync"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/config"
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+// entryCustomer is a customer's leases, one for each failure domain; the first
+// is this node's own domain.
+type entryCustomer struct {
+	mu      sync.Mutex
+	config  *config.Config
+	sources []*source
+	demand  demand
+	waiting int
+}
+
+// source is the pool of one failure domain as seen by an entry node.
+type source struct {
+	domain string
+	lease  lease
+	// pending is the Seq of the ask that waits for its answer; zero if none.
+	pending uint64
+	sent    time.Time
+	owner   state.MemberID
+	// waited is set when requests waited for the pending ask.
+	waited bool
+	// blocked is the time before which no ask is sent, full that before which
+	// none is sent to fill up a lease.
+	blocked, full time.Time
+}
+
+// take spends a token of the fullest lease.
+func (c *entryCustomer) take(now time.Time) (Decision, bool) {
+	var fullest *lease
+	for _, s := range c.sources {
+		s.lease.fill(now)
+		if fullest == nil || s.lease.level > fullest.level {
+			fullest = &s.lease
+		}
+	}
+	if fullest == nil || !fullest.take(now) {
+		return Decision{}, false
+	}
+	return Decision{Verdict: Admit, Until: fullest.expires}, true
+}
+
+// follow takes over the list of failure domains of the configuration in force.
+func (c *entryCustomer) follow(snap *state.Snapshot, own string) {
+	if c.config == snap.Config || snap.Config == nil {
+		return
+	}
+	c.config = snap.Config
+	kept := make(map[string]*source)
+	for _, s := range c.sources {
+		kept[s.domain] = s
+	}
+	c.sources = nil
+	for _, d := range snap.Config.FailureDomains {
+		s := kept[d]
+		if s == nil {
+			s = &source{domain: d}
+		}
+		c.sources = append(c.sources, s)
+		if last := len(c.sources) - 1; d == own && last > 0 {
+			c.sources[0], c.sources[last] = c.sources[last], c.sources[0]
+		}
+	}
+}
+
+// want is the demand that the other leases do not cover.
+func (c *entryCustomer) want(s *source, now time.Time) (rate, burst float64) {
+	rate = c.demand.rate(now)
+	if rate < minDemand && c.waiting == 0 {
+		return 0, 0
+	}
+	for _, o := range c.sources {
+		if o != s {
+			o.lease.fill(now)
+			rate -= o.lease.rate
+		}
+	}
+	rate = max(0, rate)
+	if rate == 0 && c.waiting == 0 {
+		return 0, 0
+	}
+	burst = rate*burstWindow.Seconds() + float64(c.waiting)
+	if rate > 0 {
+		burst++
+	}
+	return rate, burst
+}
+
+// expects reports whether an answer may arrive within the wait of a request.
+func (c *entryCustomer) expects(now time.Time, t Timing) bool {
+	for _, s := range c.sources {
+		if s.pending != 0 && now.Sub(s.sent) < t.Wait {
+			return true
+		}
+	}
+	return false
+}
+
+// refusal estimates when the next token comes.
+func (c *entryCustomer) refusal(now time.Time, t Timing) Decision {
+	wait := t.MaxRetry
+	for _, s := range c.sources {
+		if d, ok := s.lease.tokenIn(); ok {
+			wait = min(wait, d)
+		}
+		if now.Before(s.blocked) {
+			wait = min(wait, s.blocked.Sub(now))
+		}
+	}
+	return Decision{Verdict: Refuse, RetryAfter: max(wait, time.Millisecond)}
+}
+
+// pause blocks further asks. An ask for which no request waited tells nothing
+// about one for which requests do.
+func (s *source) pause(until time.Time) {
+	s.full = until
+	if s.waited {
+		s.blocked = until
+	}
+}
+
+func (c *entryCustomer) source(domain string) *source {
+	for _, s := range c.sources {
+		if s.domain == domain {
+			return s
+		}
+	}
+	return nil
+}
