--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -33,6 +33,8 @@
 	arrived func(customer string) func(admitted bool)
 	// decide replaces the cores' decision if set.
 	decide func(n *simNode) bool
+	// rates holds the largest known rate of a customer at each interval.
+	rates map[string][]float64
 	// admitted holds the times of all admissions of a customer.
 	admitted map[string][]time.Duration
 	// waited counts the admissions that waited for a message.
@@ -108,6 +110,7 @@
 		noLog:    map[string]bool{},
 		arrived:  func(string) func(bool) { return func(bool) {} },
 		admitted: map[string][]time.Duration{},
+		rates:    map[string][]float64{},
 		config:   &config.Config{Customers: customers, FailureDomains: domains},
 	}
 	for _, d := range domains {
--- a/ratelimit/window_test.go
+++ b/ratelimit/window_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -53,7 +54,8 @@
 			for _, c := range testCustomers {
 				times := f.admitted[c.Name]
 				total += len(times)
-				if x := excess(times, c.Burst, func(time.Duration) float64 { return c.Rate }); x > 1e-6 {
+				rate := func(at time.Duration) float64 { return f.rateAt(c.Name, at) }
+				if x := excess(times, c.Burst, rate); x > 1e-6 {
 					t.Errorf("seed %d: %s exceeds its rate and burst by %.2f requests", seed, c.Name, x)
 				}
 			}
@@ -68,14 +70,51 @@
 // stay within every customer's rate and burst. This finds faults of the
 // protocol that the arrivals of a run happen not to turn into an excess.
 func (f *fleet) watch(t *testing.T, seed uint64) {
+	f.recordRates()
 	for _, c := range testCustomers {
 		rate, burst := f.spendable(c.Name)
-		if rate > c.Rate*(1+1e-6) || burst > c.Burst+1e-3 {
+		if rate > f.rateAt(c.Name, f.now)*(1+1e-6) || burst > c.Burst+1e-3 {
 			t.Errorf("seed %d at %v: %s could spend at rate %.2f, burst %.2f", seed, f.now, c.Name, rate, burst)
 			return
 		}
 	}
-	f.at(f.now+10*time.Millisecond, nil, func() { f.watch(t, seed) })
+	f.at(f.now+watchInterval, nil, func() { f.watch(t, seed) })
+}
+
+const watchInterval = 10 * time.Millisecond
+
+// recordRates keeps the largest rate of each customer that any live node knows.
+func (f *fleet) recordRates() {
+	for i, c := range testCustomers {
+		rate := 0.0
+		for _, n := range f.nodes {
+			if !n.dead {
+				rate = max(rate, n.snap.Config.Customers[i].Rate)
+			}
+		}
+		f.rates[c.Name] = append(f.rates[c.Name], rate)
+	}
+}
+
+// rateAt is the rate that a customer may have at a time: the largest known to
+// a live node within the length of a lease before.
+func (f *fleet) rateAt(customer string, at time.Duration) float64 {
+	lease := f.timing.Lease + driftAllowance(f.timing.Lease)
+	rates := f.rates[customer]
+	from := max(0, int((at-lease)/watchInterval)-1)
+	to := min(len(rates), int(at/watchInterval)+2)
+	return slices.Max(rates[from:to])
+}
+
+// changeRates puts a configuration with other rates on the log.
+func (f *fleet) changeRates() {
+	changed := *f.config
+	changed.Customers = slices.Clone(testCustomers)
+	for i := range changed.Customers {
+		changed.Customers[i].Rate *= 0.3 + f.rnd.Float64()
+	}
+	f.config = &changed
+	f.publish()
 }
 
 // spendable sums the leases that their holders would use now and the tokens of
@@ -105,7 +144,7 @@
 	if f.now > until {
 		return
 	}
-	faults := []func(){f.kill, f.evict, f.pause, f.cutDomains, f.cutLog, f.cutNodeLog}
+	faults := []func(){f.kill, f.evict, f.pause, f.cutDomains, f.cutLog, f.cutNodeLog, f.changeRates}
 	faults[f.rnd.IntN(len(faults))]()
 	f.at(f.now+f.between(200*time.Millisecond, 8*time.Second), nil, func() { f.nextFault(until) })
 }
