--- a/membership/config_test.go
+++ b/membership/config_test.go
@@ -170,29 +170,66 @@
 	if f.nodes[0].Snapshot().Withdrawn["other"] {
 		t.Fatal("reads alone notice the change; the test shows nothing")
 	}
+	// A node that has read the new log tells the others before they read more.
+	f.nodes[0].noLog, f.nodes[1].noLog = true, true
 	fresh := f.start("west-a")
 	_ = fresh.poll(context.Background())
-	f.run(10 * time.Second)
-	for _, n := range f.nodes {
+	for _, n := range f.nodes[:2] {
+		if err := fresh.exchange(context.Background(), n.member); err != nil {
+			t.Fatal(err)
+		}
+		n.noLog = false
+		if err := n.poll(context.Background()); err != nil {
+			t.Fatal(err)
+		}
 		if s := n.Snapshot(); s.Version != 1 || !s.Withdrawn["other"] {
 			t.Errorf("%s: version %d, withdrawn %v", n.member.ID, s.Version, s.Withdrawn)
 		}
 	}
 }
 
+func TestNewsAreReadWithTheRecordBefore(t *testing.T) {
+	f := newFleet(t, 12)
+	f.startAll(1, "west-a")
+	f.submit(f.nodes[0], "one", 0)
+	f.log.Rollback(streamName, f.logNext()-1)
+	f.appendRecord(state.WithdrawRecord{KeyIDs: []string{"other"}})
+	f.appendRecord(state.WithdrawRecord{KeyIDs: []string{"next"}})
+	if err := f.nodes[0].poll(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if s := f.nodes[0].Snapshot(); s.Version != 1 || !s.Withdrawn["other"] || !s.Withdrawn["next"] {
+		t.Fatalf("version %d, withdrawn %v", s.Version, s.Withdrawn)
+	}
+}
+
+func TestAdoptedStateIsComparedWithTheLog(t *testing.T) {
+	f := newFleet(t, 13)
+	f.startAll(1, "west-a")
+	f.submit(f.nodes[0], "one", 0)
+	f.nodes[0].noLog = true
+	f.log.Rollback(streamName, f.logNext()-1)
+	f.appendRecord(state.WithdrawRecord{KeyIDs: []string{"other"}})
+	fresh := f.start("west-a", f.nodes[0])
+	if err := fresh.poll(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if s := fresh.Snapshot(); s.Version != 1 || !s.Withdrawn["other"] {
+		t.Fatalf("version %d, withdrawn %v", s.Version, s.Withdrawn)
+	}
+}
+
 func TestRewrittenLogIsNoticed(t *testing.T) {
 	f := newFleet(t, 6)
 	f.startAll(3, "west-a")
 	f.submit(f.nodes[0], "one", 0)
 	f.run(3 * time.Second)
-	// The log loses the change and grows past this offset while it is away.
+	// The log loses the change and gets another record in its place while away.
 	f.log.SetFaults(standin.Faults{Down: true})
 	f.run(2 * time.Second)
 	f.log.SetFaults(standin.Faults{})
 	f.log.Rollback(streamName, f.logNext()-1)
-	for range 3 {
-		f.appendRecord(state.WithdrawRecord{KeyIDs: []string{"other"}})
-	}
+	f.appendRecord(state.WithdrawRecord{KeyIDs: []string{"other"}})
 	f.run(30 * time.Second)
 	fresh := f.start("west-a")
 	_ = fresh.poll(context.Background())
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,11 +31,22 @@
 	log   *standin.Service
 	nodes []*testNode
 	// cut reports whether messages between two nodes are lost; nil means none.
-	cut   func(a, b *testNode) bool
+	cut func(a, b *testNode) bool
+	// intervals are those of the nodes started from now on.
+	intervals Intervals
+	// mu guards the counts of messages, requests and answers alike.
+	mu    sync.Mutex
 	sent  map[string]int
 	bytes int
 }
 
+func (f *fleet) count(kind string, bytes int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent[kind]++
+	f.bytes += bytes
+}
+
 // testNode is one service with its ends of network and log.
 type testNode struct {
 	*Service
@@ -49,6 +61,7 @@
 	due          [4]time.Time
 	version      uint64
 	offset       uint64
+	reads        int
 }
 
 func newFleet(t *testing.T, seed uint64) *fleet {
@@ -101,11 +114,14 @@
 		Now:     func() time.Time { return f.now },
 		Rand:    f.rand.Uint64,
 		OnEnded: func() { node.ended = true },
+
+		Intervals: f.intervals,
 	})
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	s.async = func(work func()) { work() }
+	s.heads.delay = func() {}
 	node.Service = s
 	f.nodes = append(f.nodes, node)
 	s.bootstrap(context.Background())
@@ -141,7 +157,7 @@
 func (n *testNode) work() {
 	ctx := context.Background()
 	steps := [4]func(){
-		func() { _ = n.poll(ctx) },
+		func() { n.readHead(ctx) },
 		func() { n.gossip(ctx) },
 		func() { n.upkeep(ctx) },
 		func() { n.probe(ctx) },
@@ -169,8 +185,7 @@
 // Request implements kernel.Peers.
 func (n *testNode) Request(ctx context.Context, to state.Member, kind string, body []byte) ([]byte, error) {
 	f := n.fleet
-	f.sent[kind]++
-	f.bytes += len(body)
+	f.count(kind, len(body))
 	for _, peer := range f.nodes {
 		if peer.member.ControlAddr != to.ControlAddr {
 			continue
@@ -179,7 +194,7 @@
 			return nil, errCut
 		}
 		answer, err := peer.handlers[kind](ctx, n.member.ID, body)
-		f.bytes += len(answer)
+		f.count(kind, len(answer))
 		return answer, err
 	}
 	return nil, errCut
@@ -205,6 +220,7 @@
 	if n.noLog {
 		return platform.Page{}, errCut
 	}
+	n.reads++
 	return n.fleet.log.Stream(streamName).Read(ctx, from, limit)
 }
 
--- a/routing/owner.go
+++ b/routing/owner.go
@@ -32,21 +32,27 @@
 	reported    atomic.Int64 // Unix ms
 	drainUntil  atomic.Int64 // Unix ms
 
-	points     atomic.Int64 // of failure in a row
-	ejectUntil atomic.Int64 // Unix ms; zero: not ejected
-	ejections  atomic.Int64 // in a row
+	points     atomic.Int64  // of failure in a row
+	errors     atomic.Uint64 // bits of the moving share of answers with an error
+	answers    atomic.Int64  // that the share rests on
+	ejectUntil atomic.Int64  // Unix ms; zero: not ejected
+	ejections  atomic.Int64  // in a row
 	probing    atomic.Bool
 }
 
-// report takes in the load that an answer carries.
+// report takes in the load that an answer carries; a load without a limit
+// tells only of draining.
 func (o *owner) report(l *kernel.Load, now time.Time) {
-	others := int64(l.InFlight+l.Queued) - o.outstanding.Load()
-	o.others.Store(max(others, 0))
-	o.limit.Store(int64(max(l.Limit, 1)))
-	o.reported.Store(now.UnixMilli())
 	if l.Draining {
 		o.drain(now)
 	}
+	if l.Limit == 0 {
+		return
+	}
+	others := int64(l.InFlight+l.Queued) - o.outstanding.Load()
+	o.others.Store(max(others, 0))
+	o.limit.Store(int64(l.Limit))
+	o.reported.Store(now.UnixMilli())
 }
 
 func (o *owner) drain(now time.Time) {
@@ -85,6 +91,25 @@
 	return now.UnixMilli() >= until && !o.probing.Load()
 }
 
+// answered takes an answer into the share of errors.
+func (o *owner) answered(isError bool) {
+	o.answers.Add(1)
+	sample := 0.0
+	if isError {
+		sample = 1
+	}
+	for {
+		old := o.errors.Load()
+		share := math.Float64frombits(old)
+		share += errorGain * (sample - share)
+		if o.errors.CompareAndSwap(old, math.Float64bits(share)) {
+			return
+		}
+	}
+}
+
+func (o *owner) errorShare() float64 { return math.Float64frombits(o.errors.Load()) }
+
 // claim takes the member for a call. It fails if another call has become the
 // probe in the meantime.
 func (o *owner) claim() bool {
