--- a/ratelimit/entry.go
+++ b/ratelimit/entry.go
@@ -108,7 +108,7 @@
 	if c, ok := e.customers.Load(name); ok {
 		return c.(*entryCustomer)
 	}
-	c, _ := e.customers.LoadOrStore(name, &entryCustomer{})
+	c, _ := e.customers.LoadOrStore(name, &entryCustomer{known: map[string]*source{}})
 	return c.(*entryCustomer)
 }
 
--- a/ratelimit/lease_test.go
+++ b/ratelimit/lease_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/gooseberryflow/gooseberryflow/config"
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
@@ -46,6 +47,28 @@
 	}
 }
 
+// TestReturningDomainIsNotCreditedTwice: a domain that leaves the file and
+// comes back must not make the owner take spent tokens for unused ones.
+func TestReturningDomainIsNotCreditedTwice(t *testing.T) {
+	f := newFleet(1, []string{"d", "e"}, 1, testCustomers)
+	n := f.nodes[0]
+	_, asks := n.entry.Arrive(n.snap, "large", t0)
+	g := Grant{Seq: asks[0].Ask.Seq, Rate: 10, Burst: 1, Tokens: 1, DurationMS: 2000}
+	n.entry.Granted("d", "large", asks[0].To.ID, g, t0)
+	n.entry.Retry(n.snap, "large", true, t0)
+	without, back := *n.snap.Config, *n.snap.Config
+	without.FailureDomains = []string{"e"}
+	for _, cfg := range []*config.Config{&without, &back} {
+		s := *n.snap
+		s.Config = cfg
+		n.snap = &s
+		_, asks = n.entry.Arrive(n.snap, "large", t0.Add(20*time.Millisecond))
+	}
+	if len(asks) != 1 || asks[0].Domain != "d" || asks[0].Ask.Holding != g.Seq {
+		t.Fatalf("asks %+v, want one that names the grant taken up", asks)
+	}
+}
+
 func TestGrantAfterItsEndIsVoid(t *testing.T) {
 	var l lease
 	l.replace(Grant{Seq: 1, Rate: 10, Burst: 5, Tokens: 5, DurationMS: 2000}, "o", DefaultTiming, t0, t0.Add(3*time.Second))
--- a/ratelimit/pools.go
+++ b/ratelimit/pools.go
@@ -38,7 +38,7 @@
 }
 
 func (p *Pools) observe(snap *state.Snapshot, now time.Time) {
-	p.tenure.Observe(snap, now)
+	snap = p.tenure.Observe(snap, now)
 	taken := p.tenure.Pools(now)
 	for name := range p.ledgers {
 		if !taken[name] {
--- a/ratelimit/source.go
+++ b/ratelimit/source.go
@@ -14,6 +14,9 @@
 	mu      sync.Mutex
 	config  *config.Config
 	sources []*source
+	// known also holds the sources of domains that are no longer configured: an
+	// ask must name the latest grant that was taken up, for good.
+	known   map[string]*source
 	demand  demand
 	waiting int
 }
@@ -54,15 +57,12 @@
 		return
 	}
 	c.config = snap.Config
-	kept := make(map[string]*source)
-	for _, s := range c.sources {
-		kept[s.domain] = s
-	}
 	c.sources = nil
 	for _, d := range snap.Config.FailureDomains {
-		s := kept[d]
+		s := c.known[d]
 		if s == nil {
 			s = &source{domain: d}
+			c.known[d] = s
 		}
 		c.sources = append(c.sources, s)
 		if last := len(c.sources) - 1; d == own && last > 0 {
--- a/ratelimit/tenure.go
+++ b/ratelimit/tenure.go
@@ -53,14 +53,34 @@
 	return &Tenure{self: self.ID, domain: self.Domain, timing: t, handovers: map[string]*handover{}}
 }
 
-// Observe takes in a snapshot. A pool that this node has not owned all the
+// Observe takes in a snapshot and returns the newest one, which it is unless
+// another goroutine was faster. A pool that this node has not owned all the
 // time since the snapshot before, as far as it can tell, is to be taken over.
-func (t *Tenure) Observe(snap *state.Snapshot, now time.Time) {
+func (t *Tenure) Observe(snap *state.Snapshot, now time.Time) *state.Snapshot {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if snap == t.snap {
-		return
+	if snap != t.snap && !t.stale(snap) {
+		t.observe(snap, now)
+	}
+	return t.snap
+}
+
+// stale reports whether a snapshot is older than the one observed last.
+func (t *Tenure) stale(snap *state.Snapshot) bool {
+	if t.snap == nil {
+		return false
 	}
+	return snap.Offset < t.snap.Offset || snap.Contact.Before(t.snap.Contact) || latestSeq(snap) < t.lastSeq
+}
+
+func latestSeq(snap *state.Snapshot) uint64 {
+	if len(snap.Events) == 0 {
+		return 0
+	}
+	return snap.Events[len(snap.Events)-1].Seq
+}
+
+func (t *Tenure) observe(snap *state.Snapshot, now time.Time) {
 	missed := t.missed(snap)
 	ended := t.newlyEnded(snap)
 	roster := snap.Domain(t.domain)
--- a/ratelimit/tenure_test.go
+++ b/ratelimit/tenure_test.go
@@ -197,6 +197,22 @@
 	}
 }
 
+func TestStaleSnapshotIsIgnored(t *testing.T) {
+	log := newTenureLog("a", "b")
+	node := tenureOf("a")
+	old := log.snapshot(t0)
+	node.Observe(old, t0)
+	log.change("b", true)
+	newest := log.snapshot(t0.Add(time.Second))
+	node.Observe(newest, t0.Add(time.Second))
+	if node.Observe(old, t0.Add(time.Second)) != newest {
+		t.Fatal("an older snapshot took the place of a newer one")
+	}
+	if node.Answer(Poll{Digest: rosterDigest(old.Domain("d"))}, t0.Add(time.Second)).OK {
+		t.Fatal("an older roster is confirmed")
+	}
+}
+
 func TestWaitCoversAuthority(t *testing.T) {
 	for n := 1; n < 2000; n++ {
 		authority := max(DefaultTiming.contactTime(2*n), DefaultTiming.Confirmed)
