Rate limit: planned stops during a log outage keep owners confirmed

Cause: a member that had promised a roster to a new owner confirmed no later roster until it had read the log; two planned stops during one outage would have closed the pools of the domain.

Change: the promise is dropped when the member moves on from that roster. The ledger trusts only its own count of what a borrower holds.

--- a/ratelimit/ledger.go
+++ b/ratelimit/ledger.go
@@ -123,7 +123,8 @@
 	}
 	level := float64(a.Level)
 	tokens := max(0, min(l.available(acct, a), o.burst-level))
-	o.burst = max(o.burst, min(level, float64(a.Burst)))
+	_, held := acct.counted()
+	o.burst = max(o.burst, min(level, held))
 	if o.rate == 0 {
 		tokens = math.Floor(tokens)
 		o.burst = min(o.burst, tokens+level)
--- a/ratelimit/poll.go
+++ b/ratelimit/poll.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gooseberryflow/gooseberryflow/state"
@@ -103,6 +104,12 @@
 	t.promises = kept
 }
 
+// leave drops the promise for a roster that this node has had and moved on
+// from: as no member comes back, it confirms no earlier roster again.
+func (t *Tenure) leave(digest uint64) {
+	t.promises = slices.DeleteFunc(t.promises, func(p promise) bool { return p.digest == digest })
+}
+
 // Answered takes in the answer of a member.
 func (t *Tenure) Answered(from state.MemberID, a PollAnswer, now time.Time) {
 	t.mu.Lock()
--- a/ratelimit/tenure.go
+++ b/ratelimit/tenure.go
@@ -87,6 +87,9 @@
 	digest := rosterDigest(roster)
 	missed = missed || digest != t.digest && !t.advanced
 	changed := t.snap == nil || digest != t.digest || snap.Config != t.snap.Config
+	if digest != t.digest {
+		t.leave(t.digest)
+	}
 	t.snap, t.roster, t.digest = snap, roster, digest
 	if !changed && len(ended) == 0 && !missed {
 		return
--- a/ratelimit/tenure_test.go
+++ b/ratelimit/tenure_test.go
@@ -213,6 +213,28 @@
 	}
 }
 
+// TestConfirmationAfterResignations: planned stops while the log is away must
+// not keep the remaining owners from being confirmed.
+func TestConfirmationAfterResignations(t *testing.T) {
+	log := newTenureLog("a", "b", "c", "d")
+	member := tenureOf("a")
+	member.Observe(log.snapshot(t0), t0)
+	now := t0
+	for _, id := range []state.MemberID{"b", "c"} {
+		now = now.Add(time.Second)
+		log.change(id, true)
+		s := log.snapshot(t0)
+		digest := rosterDigest(s.Domain("d"))
+		if !member.Answer(Poll{Digest: digest, Takeover: true}, now).OK {
+			t.Fatal("no promise")
+		}
+		member.Observe(s, now)
+		if !member.Answer(Poll{Digest: digest}, now).OK {
+			t.Fatalf("the roster without %s is not confirmed", id)
+		}
+	}
+}
+
 func TestWaitCoversAuthority(t *testing.T) {
 	for n := 1; n < 2000; n++ {
 		authority := max(DefaultTiming.contactTime(2*n), DefaultTiming.Confirmed)
