Membership: a joining node reads the log if it can, and asks a peer only else

Cause: a node that adopted a peer's state at its start saw its events jump, though the log was at hand; a jump tells readers that they may have missed changes, so claims answered fresh keys as expired for a while. Change: read the log first; a whole state is fetched only by a node that began in mid-log or whose contact with the log is stale. Two tests started a node that must not have read the log; they start it during an outage now.

--- a/membership/config_test.go
+++ b/membership/config_test.go
@@ -210,7 +210,9 @@
 	f.nodes[0].noLog = true
 	f.log.Rollback(streamName, f.logNext()-1)
 	f.appendRecord(state.WithdrawRecord{KeyIDs: []string{"other"}})
+	f.log.SetFaults(standin.Faults{Down: true})
 	fresh := f.start("west-a", f.nodes[0])
+	f.log.SetFaults(standin.Faults{})
 	if err := fresh.poll(context.Background()); err != nil {
 		t.Fatal(err)
 	}
@@ -284,6 +286,26 @@
 	}
 }
 
+func TestJoiningNodeReadsTheLogIfItCan(t *testing.T) {
+	f := newFleet(t, 14)
+	f.startAll(3, "west-a")
+	fresh := f.start("west-a", f.nodes[1])
+	f.run(10 * time.Second)
+	events := fresh.Snapshot().Events
+	if f.sent[kindState] > 0 || len(events) != 4 || events[0].Seq != 1 {
+		t.Fatalf("%d states fetched, events %+v", f.sent[kindState], events)
+	}
+	far := news{Whole: true}
+	if fresh.needsState(far) {
+		t.Error("a node that reads the log would fetch a state")
+	}
+	f.log.SetFaults(standin.Faults{Down: true})
+	f.run(2 * staleContact)
+	if !fresh.needsState(far) {
+		t.Error("a node without the log would not fetch a state")
+	}
+}
+
 func TestBootstrapFromAPeerWhileTheLogIsAway(t *testing.T) {
 	f := newFleet(t, 9)
 	f.startAll(4, "west-a", "west-b")
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -109,7 +109,7 @@
 	}
 	s.noteDigest(to.ID, resp.Digest)
 	s.take(resp.News)
-	if resp.News.Whole || !s.versionKnown() {
+	if s.needsState(resp.News) {
 		s.fetchState(ctx, to)
 	}
 	if back := s.newsFor(resp.Digest); !back.empty() {
@@ -259,6 +259,23 @@
 	return taken
 }
 
+// needsState reports whether only a whole state helps this node: it began in
+// mid-log, or it is too far behind its peers and can't read the log. A node that
+// can reads the log instead, since a whole state tells nothing of the changes of
+// the roster that led to it.
+func (s *Service) needsState(n news) bool {
+	return !s.versionKnown() || n.Whole && s.logAway(s.o.Now())
+}
+
+// join learns the state at the start: from the log if it can be read from the
+// beginning, else from a peer.
+func (s *Service) join(ctx context.Context) {
+	if s.poll(ctx) == nil && s.versionKnown() {
+		return
+	}
+	s.bootstrap(ctx)
+}
+
 // bootstrap fetches the state from one of the first peers, if any answers.
 func (s *Service) bootstrap(ctx context.Context) {
 	peers := s.firstPeers()
--- a/membership/outage_test.go
+++ b/membership/outage_test.go
@@ -230,7 +230,9 @@
 func TestContactNeedsTheHead(t *testing.T) {
 	f := newFleet(t, 26)
 	f.startAll(3, "west-a")
+	f.log.SetFaults(standin.Faults{Down: true})
 	reader := f.start("west-a")
+	f.log.SetFaults(standin.Faults{})
 	short := &shortLog{Log: reader.o.Log}
 	reader.o.Log = short
 	if err := reader.poll(context.Background()); err == nil || !reader.Snapshot().Contact.IsZero() {
--- a/membership/service.go
+++ b/membership/service.go
@@ -66,7 +66,7 @@
 
 // Run works until ctx is done.
 func (s *Service) Run(ctx context.Context) error {
-	s.bootstrap(ctx)
+	s.join(ctx)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	s.loop(ctx, &wg, s.pollInterval, s.readHead)
