Claims: hand shards over one by one, refuse while one moves, ask the heir for earlier tenures

Cause: a resigning node emptied all its shards at once and then sent them one after the other; claims that came in between were sent to heirs that did not have the shard yet, and questions about earlier tenures were answered as forgotten, so fresh keys got 409 unknown.

--- a/claims/asker.go
+++ b/claims/asker.go
@@ -101,10 +101,13 @@
 }
 
 func (a *asker) redirect(to state.Member) step {
-	if to.ID == "" || a.hasAsked(to.ID) {
+	// The heir of a resigned member answers for its earlier tenures, too, so a
+	// question about one of those may come back to a member already asked.
+	closing := a.req.Closing
+	if to.ID == "" || (a.hasAsked(to.ID) && !closing.known()) {
 		return a.unreachable("is changing owners")
 	}
-	return a.ask(to, Change{})
+	return a.ask(to, closing)
 }
 
 func (a *asker) before(ans ClaimAnswer) step {
@@ -144,6 +147,8 @@
 		return kernel.Refuse(kernel.ReasonKeyExpired, "the key was minted between two owners and can't be used; send a fresh key", 0)
 	case VerdictEarly:
 		return a.unreachable("can't confirm its roster").result
+	case VerdictMoving:
+		return a.unreachable("is changing owners").result
 	case VerdictFull:
 		return kernel.Refuse(kernel.ReasonOverload, "the key's owner remembers too many keys", comeBack)
 	case VerdictReleased:
--- a/claims/message.go
+++ b/claims/message.go
@@ -64,6 +64,8 @@
 	VerdictForgotten
 	// VerdictNotOwner: ClaimAnswer.Peer owns the shard as far as is known.
 	VerdictNotOwner
+	// VerdictMoving: the shard is being handed over; ask again soon.
+	VerdictMoving
 	// VerdictFull: the table has reached its maximum size.
 	VerdictFull
 )
--- a/claims/plugin.go
+++ b/claims/plugin.go
@@ -86,7 +86,7 @@
 // midway is given up; it is never offered to a second member.
 func (p *Plugin) Resign(ctx context.Context) {
 	lost := make(map[state.MemberID]bool)
-	for _, out := range p.table.Resign() {
+	for out := range p.table.Resign() {
 		if lost[out.To.ID] {
 			continue
 		}
--- a/claims/resign.go
+++ b/claims/resign.go
@@ -1,6 +1,8 @@
 package claims
 
 import (
+	"iter"
+
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
@@ -14,27 +16,45 @@
 	Messages []Handover
 }
 
-// Resign stops all granting, for good, and returns what the next owners need
-// to go on in this node's place.
-func (t *Table) Resign() []OutgoingHandover {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.resigned || t.roster == nil {
-		return nil
-	}
-	t.resigned = true
-	var out []OutgoingHandover
-	for i := range t.shards {
-		heir, ok := t.roster.heir(uint16(i), t.self.ID)
-		tenures, entries := t.shards[i].drain(heir)
-		if ok && len(tenures)+len(entries) > 0 {
-			out = append(out, OutgoingHandover{To: heir, Messages: t.messages(uint16(i), tenures, entries)})
+// Resign lets go of one shard after the other, for good, and yields what its
+// next owner needs to go on in this node's place. The caller sends it before
+// it asks for the next shard; meanwhile claims on this shard are answered
+// VerdictMoving, so that nobody asks the heir too early.
+func (t *Table) Resign() iter.Seq[OutgoingHandover] {
+	return func(yield func(OutgoingHandover) bool) {
+		t.mu.Lock()
+		if t.resigned || t.roster == nil {
+			t.mu.Unlock()
+			return
+		}
+		t.resigned = true
+		t.mu.Unlock()
+		for i := range t.shards {
+			if !t.handOver(uint16(i), yield) {
+				return
+			}
 		}
 	}
-	return out
 }
 
-// drain empties a shard. Claims that arrive later are sent to the heir.
+func (t *Table) handOver(i uint16, yield func(OutgoingHandover) bool) bool {
+	heir, ok := t.roster.heir(i, t.self.ID)
+	tenures, entries := t.shards[i].drain(heir)
+	defer t.shards[i].setMoved()
+	if !ok || len(tenures)+len(entries) == 0 {
+		return true
+	}
+	return yield(OutgoingHandover{To: heir, Messages: t.messages(i, tenures, entries)})
+}
+
+func (s *shard) setMoved() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.moving = false
+	s.moved = true
+}
+
+// drain empties a shard.
 func (s *shard) drain(heir state.Member) ([]Tenure, []Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -52,6 +72,7 @@
 	s.tenures = nil
 	s.entries = nil
 	s.owner = heir
+	s.moving = true
 	return tenures, entries
 }
 
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -24,6 +24,10 @@
 	entries map[Key]*Entry
 	// floorMS never decreases; older keys have been forgotten.
 	floorMS int64
+	// moving is set while the shard is on its way to the heir of a resigning
+	// member, moved once the heir has it.
+	moving bool
+	moved  bool
 	// total counts the entries of all shards of the node.
 	total *atomic.Int64
 }
@@ -36,6 +40,12 @@
 	if minted < s.floorMS {
 		return ClaimAnswer{Verdict: VerdictExpired}
 	}
+	if s.moving {
+		return ClaimAnswer{Verdict: VerdictMoving}
+	}
+	if s.moved {
+		return ClaimAnswer{Verdict: VerdictNotOwner, Peer: s.owner}
+	}
 	e := s.entries[req.Key]
 	if e != nil {
 		if v := e.judge(req); v != 0 {
--- a/claims/world_test.go
+++ b/claims/world_test.go
@@ -282,7 +282,7 @@
 
 // resign hands over shard by shard, each message after the last one's ack.
 func (w *world) resign(n *simNode) {
-	for _, out := range n.table.Resign() {
+	for out := range n.table.Resign() {
 		w.handOver(n, out.To.ID, out.Messages, 0)
 	}
 	w.at(1500, func() {
