--- a/ratelimit/differential_test.go
+++ b/ratelimit/differential_test.go
@@ -16,8 +16,9 @@
 	central, fleet int
 	// wrong counts refusals of requests that the central bucket admits.
 	wrong int
-	// total and waited count all admissions and those that waited.
-	total, waited int
+	// total and waited count all admissions and those that waited, messages
+	// the control messages.
+	total, waited, messages int
 }
 
 // wrongShare is the share of the requests admitted by the central bucket that
@@ -92,6 +93,9 @@
 		sum.wrong += result.wrong
 		sum.total += len(f.admitted[s.customer.Name])
 		sum.waited += f.waited
+		for _, n := range f.nodes {
+			sum.messages += n.messages / 2
+		}
 	}
 	return sum
 }
--- a/ratelimit/failure_test.go
+++ b/ratelimit/failure_test.go
@@ -133,3 +133,21 @@
 	b.ReportMetric(float64(most)/(runLength-warmUp).Seconds(), "most-B/s")
 	b.ReportMetric(0, "ns/op")
 }
+
+// BenchmarkTrafficByDemand reports the messages of the whole fleet per
+// admitted request, without failures.
+func BenchmarkTrafficByDemand(b *testing.B) {
+	for _, c := range comparedCustomers {
+		for _, p := range placements {
+			b.Run(fmt.Sprintf("rate=%.0f/%s", c.Rate, p.name), func(b *testing.B) {
+				var got comparison
+				measure := func(f *fleet) { f.measured = true }
+				for range b.N {
+					got = scenario{c, 0.9, p, measure}.run(2, runLength)
+				}
+				b.ReportMetric(float64(got.messages)/float64(got.total), "messages/admitted")
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
