--- a/ratelimit/ledger.go
+++ b/ratelimit/ledger.go
@@ -133,7 +133,7 @@
 		return l.deny(acct, a, o, now)
 	}
 	if level+tokens < 1 {
-		g.RetryMS = l.retryMS(acct, a, o, now)
+		g.RetryMS = l.retryMS(o, now)
 	}
 	g.Rate, g.Burst, g.Tokens = float32down(o.rate), float32down(o.burst), float32down(tokens)
 	g.DurationMS = uint32(o.length / time.Millisecond)
@@ -154,7 +154,7 @@
 	if a.Waiting > 0 {
 		acct.denied = now
 	}
-	return Grant{Seq: a.Seq, RetryMS: l.retryMS(acct, a, o, now)}
+	return Grant{Seq: a.Seq, RetryMS: l.retryMS(o, now)}
 }
 
 // freeFor returns what no other borrower may be using. The borrower's own
@@ -237,14 +237,11 @@
 }
 
 // retryMS is when the asker can expect a token, given the others that want one.
-func (l *Ledger) retryMS(acct *account, a Ask, o offer, now time.Time) uint32 {
+func (l *Ledger) retryMS(o offer, now time.Time) uint32 {
 	limit := l.timing.MaxRetry
 	if o.rate > 0 {
 		limit /= leaseRetryPart
 	}
-	if !acct.home && a.Waiting == 0 {
-		return uint32(l.timing.MaxRetry / leaseRetryPart / time.Millisecond)
-	}
 	leased, _ := l.leased()
 	fill := l.share.Rate - leased
 	d := limit
