--- a/membership/head.go
+++ b/membership/head.go
@@ -139,7 +139,7 @@
 	if s.rereading() {
 		return false, errRelay
 	}
-	if s.fold.Confirm(next, begun) {
+	if s.confirm(next, begun) {
 		return true, nil
 	}
 	if s.fold.Offset() <= before {
@@ -162,8 +162,8 @@
 	s.mu.Lock()
 	resp := headResponse{Known: !s.rereading(), Next: s.fold.Offset()}
 	s.mu.Unlock()
-	n := s.newsFor(digest{Offset: req.Offset, Last: req.Last})
-	resp.News = news{Records: n.Records, Whole: n.Whole, Diverged: n.Diverged}
+	resp.News = s.newsFor(digest{Offset: req.Offset, Last: req.Last})
+	resp.News.Outside = state.Outside{}
 	if req.Offset > resp.Next {
 		// The asker has records that the log does not.
 		resp.News.Diverged = true
