Routing: timeouts that most members share eject nobody; state per customer measured

Cause: when a service below is slow, calls to all members run into their deadlines, and half of the members were ejected for it.

Seen to fail first: ejection with timeouts left out (92 of 300 calls to the stalled member); the comparison left out (1 of 3 ejected).

--- a/admission/plugin_test.go
+++ b/admission/plugin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -300,6 +301,17 @@
 	})
 }
 
+// BenchmarkCustomerState shows the memory for one more active customer.
+func BenchmarkCustomerState(b *testing.B) {
+	g := NewGate(modelStart)
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		r := &Request{Customer: strconv.Itoa(n), Route: "r"}
+		g.Offer(modelStart, r)
+		g.Done(modelStart, r, End{Answered: true, Own: time.Millisecond})
+	}
+}
+
 func BenchmarkEntryShed(b *testing.B) {
 	p := newPlugin(b)
 	c := rootCall(1)
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -18,7 +18,7 @@
 // # Ejection
 //
 // A member is ejected after a lost call or failed connection, after three
-// timeouts in a row, or when most of its answers are errors (status 500 and
+// timeouts in a row while most other members have none, or when most of its answers are errors (status 500 and
 // above) and those of the other members are not, for 1 s, doubling to 30 s,
 // with jitter (outlier detection as in Envoy). Then one call at a time
 // probes it; the first good answer returns it. A refusal counts neither way.
--- a/routing/eject.go
+++ b/routing/eject.go
@@ -75,7 +75,7 @@
 			g.eject(o, now, random)
 		}
 	case failed:
-		if o.points.Add(points) >= ejectAt {
+		if o.points.Add(points) >= ejectAt && (points == pointsLost || !g.shared(o)) {
 			g.eject(o, now, random)
 		}
 	}
@@ -102,6 +102,24 @@
 	o.answers.Store(0)
 }
 
+// shared reports whether half or more of the other members fail as well, so
+// that the cause is likely to be a service below.
+func (g *group) shared(o *owner) bool {
+	failing, others := 0, 0
+	for _, members := range [][]*owner{g.local, g.remote} {
+		for _, other := range members {
+			if other.stats == o.stats {
+				continue
+			}
+			others++
+			if other.points.Load() > 0 && other.ejectUntil.Load() == 0 {
+				failing++
+			}
+		}
+	}
+	return others > 0 && 2*failing >= others
+}
+
 // outlier reports whether a member answers with errors that the other members
 // of its service don't have, so that they aren't those of a service below.
 func (g *group) outlier(o *owner) bool {
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -216,6 +216,32 @@
 	}
 }
 
+// An instance that stalls lets calls run into their deadlines.
+func TestStalledMemberIsEjected(t *testing.T) {
+	for _, seed := range seeds {
+		b := newBench(t, seed, "x", "a1", "a2", "a3")
+		b.answer = func(m state.Member) *kernel.Result {
+			if m.ID == "a1" {
+				return kernel.Unknown(kernel.ReasonDeadline, "")
+			}
+			return good()
+		}
+		b.send(t.Context(), 300)
+		if b.calls["a1"] > 3 {
+			t.Errorf("seed %d: stalled member got %d of 300 calls, want 3", seed, b.calls["a1"])
+		}
+		b = newBench(t, seed, "x", "a1", "a2", "a3")
+		b.answer = func(state.Member) *kernel.Result { return kernel.Unknown(kernel.ReasonDeadline, "") }
+		for _, o := range b.current().groups["s"].local {
+			o.points.Store(pointsTimeout) // all have begun to fail
+		}
+		b.send(t.Context(), 100)
+		if out := countEjected(b.current().groups["s"].local); out != 0 {
+			t.Errorf("seed %d: %d ejected for timeouts that all have", seed, out)
+		}
+	}
+}
+
 func TestOneProbeAtATime(t *testing.T) {
 	b := newBench(t, 1, "x", "a1", "a2")
 	b.owner("a1").ejectUntil.Store(b.now.UnixMilli())
