--- a/ratelimit/tenure_test.go
+++ b/ratelimit/tenure_test.go
@@ -197,6 +197,44 @@
 	}
 }
 
+func TestStaleSnapshotIsIgnored(t *testing.T) {
+	log := newTenureLog("a", "b")
+	node := tenureOf("a")
+	old := log.snapshot(t0)
+	node.Observe(old, t0)
+	log.change("b", true)
+	newest := log.snapshot(t0.Add(time.Second))
+	node.Observe(newest, t0.Add(time.Second))
+	if node.Observe(old, t0.Add(time.Second)) != newest {
+		t.Fatal("an older snapshot took the place of a newer one")
+	}
+	if node.Answer(Poll{Digest: rosterDigest(old.Domain("d"))}, t0.Add(time.Second)).OK {
+		t.Fatal("an older roster is confirmed")
+	}
+}
+
+// TestConfirmationAfterResignations: planned stops while the log is away must
+// not keep the remaining owners from being confirmed.
+func TestConfirmationAfterResignations(t *testing.T) {
+	log := newTenureLog("a", "b", "c", "d")
+	member := tenureOf("a")
+	member.Observe(log.snapshot(t0), t0)
+	now := t0
+	for _, id := range []state.MemberID{"b", "c"} {
+		now = now.Add(time.Second)
+		log.change(id, true)
+		s := log.snapshot(t0)
+		digest := rosterDigest(s.Domain("d"))
+		if !member.Answer(Poll{Digest: digest, Takeover: true}, now).OK {
+			t.Fatal("no promise")
+		}
+		member.Observe(s, now)
+		if !member.Answer(Poll{Digest: digest}, now).OK {
+			t.Fatalf("the roster without %s is not confirmed", id)
+		}
+	}
+}
+
 func TestWaitCoversAuthority(t *testing.T) {
 	for n := 1; n < 2000; n++ {
 		authority := max(DefaultTiming.contactTime(2*n), DefaultTiming.Confirmed)
--- a/state/transfer.go
+++ b/state/transfer.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -11,7 +12,7 @@
 )
 
 // MaxStateBytes bounds an encoded state.
-const MaxStateBytes = 16 << 20
+const MaxStateBytes = 8 << 20
 
 // maxStateLen bounds each collection in an encoded state.
 const maxStateLen = 1 << 17
@@ -23,16 +24,14 @@
 
 // transfer is the encoded form of a whole state.
 type transfer struct {
-	Format    uint8      `cbor:"1,keyasint"`
-	Core      core       `cbor:"2,keyasint"`
-	Withdrawn []string   `cbor:"3,keyasint"`
-	Resigned  []MemberID `cbor:"4,keyasint"`
+	Format  uint8   `cbor:"1,keyasint"`
+	Core    core    `cbor:"2,keyasint"`
+	Outside Outside `cbor:"3,keyasint"`
 }
 
 // Export encodes the whole state for a node that can't read the log.
 func (f *Fold) Export() ([]byte, error) {
-	withdrawn, resigned := f.Outside()
-	data, err := encMode.Marshal(transfer{Format: recordFormat, Core: f.core, Withdrawn: withdrawn, Resigned: resigned})
+	data, err := encMode.Marshal(transfer{Format: recordFormat, Core: f.core, Outside: f.Outside()})
 	if err != nil {
 		return nil, fmt.Errorf("encode state: %w", err)
 	}
@@ -61,8 +60,7 @@
 		}
 	}
 	f.replace(t.Core, cfg, now)
-	f.Withdraw(t.Withdrawn)
-	f.Resigned(t.Resigned, now)
+	f.Merge(t.Outside, now)
 	return nil
 }
 
@@ -120,7 +118,7 @@
 	f.core = next
 	f.cfg = cfg
 	f.dirty = true
-	f.Withdraw(slices.Collect(maps.Keys(old.Withdrawn)))
+	f.Merge(Outside{Withdrawn: slices.Collect(maps.Keys(old.Withdrawn))}, now)
 	for id, at := range old.Ended {
 		if _, known := f.core.Ended[id]; !known && at+endWindow >= next.Offset {
 			f.core.Ended[id] = at
@@ -135,9 +133,7 @@
 // pruneOutside forgets what the log prefix contains by now.
 func (f *Fold) pruneOutside() {
 	f.forgetWithdrawn(slices.Collect(maps.Keys(f.core.Withdrawn)))
-	for id := range f.core.Ended {
-		delete(f.resigned, id)
-	}
+	f.forgetEnded()
 }
 
 func (f *Fold) noteDifferences(old core, now time.Time) {
@@ -146,13 +142,27 @@
 			f.note([]change{{member: old.Members[id].Member, ended: true}}, now)
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(f.core.Members)) {
-		if _, before := old.Members[id]; !before {
-			f.note([]change{{member: f.core.Members[id].Member}}, now)
+	for _, m := range inOrderOfAnnouncement(f.core.Members) {
+		if _, before := old.Members[m.ID]; !before {
+			f.note([]change{{member: m}}, now)
 		}
 	}
 }
 
+// inOrderOfAnnouncement sorts members as the log holds their announcements, so
+// that the events of a node that adopted a state show the same predecessors as
+// those of a node that read the log.
+func inOrderOfAnnouncement(members map[MemberID]memberState) []Member {
+	sorted := slices.SortedFunc(maps.Values(members), func(a, b memberState) int {
+		return cmp.Or(cmp.Compare(a.JoinedAt, b.JoinedAt), cmp.Compare(a.Member.ID, b.Member.ID))
+	})
+	list := make([]Member, len(sorted))
+	for i, m := range sorted {
+		list[i] = m.Member
+	}
+	return list
+}
+
 // Digest returns a hash over the state that comes from the log. Two nodes that
 // applied the same prefix have equal digests.
 func (f *Fold) Digest() uint64 {
@@ -160,9 +170,19 @@
 	c.Start = 0
 	c.Pending = nil
 	c.Decisions = nil
+	c.Members = withoutJoinedAt(c.Members)
 	data, err := encMode.Marshal(c)
 	if err != nil {
 		panic("state: core is not encodable: " + err.Error())
 	}
 	return RecordHash(data)
 }
+
+func withoutJoinedAt(members map[MemberID]memberState) map[MemberID]memberState {
+	out := make(map[MemberID]memberState, len(members))
+	for id, m := range members {
+		m.JoinedAt = 0
+		out[id] = m
+	}
+	return out
+}
