Quarantine: calls lost together share a message

Cause: each lost call sent its own report to every node of the service; the death of an instance with many calls in flight was a burst of messages, and reports of pardons came one by one as well.

Change: records of a service within 5 ms go in one message to each node.

Figures: go test ./quarantine -run Share: 50 lost calls and 5 nodes, at most 5 reports; 250 without the batch.

Seen to fail first: with a batch for each call (250 reports).

--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -21,7 +21,9 @@
 // # Messages
 //
 // Changes go to the nodes of the call's service in all failure domains, eight
-// at a time (quarantine.report); they are the ones that could run it. A lost
+// at a time (quarantine.report); they are the ones that could run it. Changes
+// within 5 ms share a message, so a death costs one message to each node from
+// each witness, not one for each lost call. A lost
 // call is answered after these nodes have been told or 200 ms have passed, so
 // that a caller who sends it again at once meets nodes that know. Receivers
 // merge: deaths and pardons are sets that only grow, an expiry only moves
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -19,6 +19,7 @@
 	fanOut      = 8 // messages under way at a time
 	sendTimeout = 2 * time.Second
 	tellWait    = 200 * time.Millisecond
+	batchDelay  = 5 * time.Millisecond
 	syncPeers   = 3
 )
 
@@ -48,13 +49,15 @@
 	}
 }
 
+// batch is records on their way to a service. Calls lost together share one.
+type batch struct {
+	records []record
+	done    chan struct{}
+}
+
 // tell sends records to the nodes of a service and waits for them briefly.
 func (p *Plugin) tell(service string, records []record) {
-	done := make(chan struct{})
-	p.host.Go(func() {
-		p.broadcast(service, records)
-		close(done)
-	})
+	done := p.enqueue(service, records)
 	timer := time.NewTimer(tellWait)
 	defer timer.Stop()
 	select {
@@ -63,6 +66,30 @@
 	}
 }
 
+// enqueue adds records to the batch of a service. The channel is closed when
+// the batch has been sent.
+func (p *Plugin) enqueue(service string, records []record) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.batches[service]
+	if b == nil {
+		b = &batch{done: make(chan struct{})}
+		p.batches[service] = b
+		p.host.Go(func() { p.flush(service, b) })
+	}
+	b.records = append(b.records, records...)
+	return b.done
+}
+
+func (p *Plugin) flush(service string, b *batch) {
+	time.Sleep(batchDelay)
+	p.mu.Lock()
+	delete(p.batches, service)
+	p.mu.Unlock()
+	p.broadcast(service, b.records)
+	close(b.done)
+}
+
 // broadcast sends records to the nodes of a service in all failure domains.
 func (p *Plugin) broadcast(service string, records []record) {
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
--- a/quarantine/owner.go
+++ b/quarantine/owner.go
@@ -46,7 +46,7 @@
 	r := p.run(ctx, c, next)
 	if r.Outcome == kernel.OutcomeAnswered && before.suspect() {
 		rec := p.table.pardon(c.Fingerprint, before.Deaths, p.host.Now())
-		p.host.Go(func() { p.broadcast(c.Service, []record{rec}) })
+		p.enqueue(c.Service, []record{rec})
 	}
 	return r
 }
--- a/quarantine/plugin.go
+++ b/quarantine/plugin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/gooseberryflow/gooseberryflow/kernel"
@@ -27,6 +28,9 @@
 	expired   time.Time
 	// synced is set once the table of another member has been asked for.
 	synced bool
+
+	mu      sync.Mutex
+	batches map[string]*batch // by service
 }
 
 // Provision keeps the host and registers the message handlers.
@@ -35,6 +39,7 @@
 	p.table = newTable()
 	p.flights = newFlights()
 	p.isolation = newIsolation()
+	p.batches = map[string]*batch{}
 	kernel.Answer(h.Peers, kindReport, p.onReport)
 	kernel.Answer(h.Peers, kindTable, p.onTable)
 	return nil
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -31,6 +31,7 @@
 	// killsNode takes the node down together with its instance, for good.
 	killsNode bool
 	deaths    int
+	reports   int
 	off       bool // leaves the quarantine out
 }
 
@@ -167,6 +168,11 @@
 
 // Request is part of kernel.Peers.
 func (n *node) Request(ctx context.Context, to state.Member, kind string, body []byte) ([]byte, error) {
+	n.fleet.mu.Lock()
+	if kind == kindReport {
+		n.fleet.reports++
+	}
+	n.fleet.mu.Unlock()
 	peer, self := n.fleet.node(to.ID), n.fleet.node(n.member.ID)
 	if peer == nil || self == nil {
 		return nil, kernel.ErrNotSent
@@ -327,6 +333,30 @@
 	})
 }
 
+// Calls lost together at one entry node are told in one message to each node.
+func TestLostCallsShareAMessage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 5)
+		entry := f.startFor("front", "f")
+		f.killsNode = true
+		for i := range uint64(50) {
+			go entry.observe(call(i), &kernel.Result{Outcome: kernel.OutcomeUnknown, Lost: true, Owner: "n0"})
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.reports > 5 {
+			t.Errorf("%d reports to 5 nodes", f.reports)
+		}
+		for i := range uint64(50) {
+			if rec := f.nodes["n4"].table.get(i, time.Now()); !rec.suspect() {
+				t.Fatalf("fingerprint %d not known at another node", i)
+			}
+		}
+	})
+}
+
 func TestNewNodeFetchesTable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, 2)
