Quarantine: a lost call always counts its own death

Change: the calls lost after the first one record their own fingerprint; deaths are sets, so counting twice is harmless.

--- a/quarantine/flights.go
+++ b/quarantine/flights.go
@@ -50,11 +50,11 @@
 }
 
 // died records that the instance was lost under a call in flight. The first
-// call to tell gets the fingerprints of all calls that had begun before; for
-// the others the death is known already.
+// call to tell gets the fingerprints of all calls that had begun before, the
+// others their own, since they may have ended before the first one looked.
 func (f *flights) died(c *flight) []uint64 {
 	if !f.epoch.CompareAndSwap(c.epoch, c.epoch+1) {
-		return nil
+		return []uint64{c.fingerprint}
 	}
 	return f.upTo(c.epoch)
 }
--- a/quarantine/owner.go
+++ b/quarantine/owner.go
@@ -85,7 +85,5 @@
 	for _, fingerprint := range p.flights.died(f) {
 		records = append(records, p.table.death(fingerprint, d, now))
 	}
-	if len(records) > 0 {
-		p.tell(c.Service, records)
-	}
+	p.tell(c.Service, records)
 }
