Peer: one connection for requests that come together; no answer after the close

Cause: concurrent first dials of a QUIC address opened a connection each and kept them; a handler cancelled by a closing connection could still answer, so the peer saw a refusal in place of a lost connection. Seen to fail: TestFirstRequestsShareOneConnection opened 50 connections without the shared dial; TestUnreachablePeerIsNotSent failed in 1 of 3 race runs. After: go test -race -count=20 ./peer passes. Experiment: warm up every kind of request, so that TestWholePath doesn't meet the waiting time of fresh owners.

--- a/experiment/load.go
+++ b/experiment/load.go
@@ -198,7 +198,7 @@
 func (c *callers) send(ctx context.Context, a arrival) sample {
 	route := c.fleet.Deployment.route(a.kind.Route)
 	s := sample{arrival: a, priority: route.Priority}
-	a.key = uuid.Must(uuid.NewV7()).String()
+	a.key = newKey()
 	started := time.Now()
 	withinRate := true
 	for s.attempts < c.tries && time.Since(started) < c.patience {
@@ -220,6 +220,9 @@
 	return s
 }
 
+// newKey returns a fresh idempotency key.
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
 func (s *sample) count(v verdict, central, withinRate bool) {
 	s.refusedWithinRate = v.notRun && withinRate
 	s.lastReason = cmp.Or(v.reason, "upstream-answer")
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -100,27 +99,42 @@
 	return r, nil
 }
 
-// warmUp sends a light load until every customer is served at every node. A
-// fresh fleet first waits out leases that an earlier one might have granted.
+// warmUp sends a light load until every customer is served at every node and
+// every kind of request is. A fresh fleet first waits out what an earlier one
+// might have granted.
 func (f *Fleet) warmUp(ctx context.Context) error {
 	ctx, stop := context.WithTimeout(ctx, warmUpTimeout)
 	defer stop()
 	c := newCallers(f)
-	kind := f.Deployment.Requests[0]
-	route := f.Deployment.route(kind.Route)
 	for entry := range f.Workers {
 		for _, customer := range f.Deployment.Customers {
-			a := arrival{customer: customer.Name, kind: kind, id: "warm", entry: entry}
-			for !c.attemptAt(ctx, entry, a, route).whole {
-				if !sleep(ctx, warmUpPause) {
-					return errors.New("a customer is not served in time")
-				}
+			if err := c.untilServed(ctx, entry, customer.Name, f.Deployment.Requests[0]); err != nil {
+				return err
+			}
+		}
+		for _, kind := range f.Deployment.Requests[1:] {
+			if err := c.untilServed(ctx, entry, f.Deployment.Customers[0].Name, kind); err != nil {
+				return err
 			}
 		}
 	}
 	return nil
 }
 
+// untilServed repeats a request, with a fresh key each time, until it is served.
+func (c *callers) untilServed(ctx context.Context, entry int, customer string, kind Request) error {
+	route := c.fleet.Deployment.route(kind.Route)
+	for {
+		a := arrival{customer: customer, kind: kind, id: "warm", key: newKey()}
+		if c.attemptAt(ctx, entry, a, route).whole {
+			return nil
+		}
+		if !sleep(ctx, warmUpPause) {
+			return fmt.Errorf("%s is not served for %s in time", kind.Route, customer)
+		}
+	}
+}
+
 // play sets the conditions of each phase at its time.
 func (f *Fleet) play(ctx context.Context, phases []Phase, started time.Time, progress io.Writer, name string) {
 	at := time.Duration(0)
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -180,7 +180,9 @@
 	go func() {
 		defer c.served(f.ID, stop)
 		body, err := c.handle(ctx, f.Kind, f.From, f.Body)
-		c.answer(f.ID, body, err)
+		if !c.ended() {
+			c.answer(f.ID, body, err)
+		}
 	}()
 }
 
@@ -224,11 +226,10 @@
 	_ = c.stream.Close()
 }
 
-func (c *conn) isClosed() bool {
-	select {
-	case <-c.done:
-		return true
-	default:
-		return false
-	}
+// ended reports that the connection has been closed. Handlers cancelled by the
+// closing must not answer any more.
+func (c *conn) ended() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
 }
--- a/peer/link.go
+++ b/peer/link.go
@@ -53,7 +53,7 @@
 func (l *link) state() (*conn, chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.current != nil && !l.current.isClosed() {
+	if l.current != nil && !l.current.ended() {
 		return l.current, nil, nil
 	}
 	if l.opening != nil {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -108,6 +108,29 @@
 	<-gate
 }
 
+// TestFirstRequestsShareOneConnection sends the first requests to a peer all
+// at once.
+func TestFirstRequestsShareOneConnection(t *testing.T) {
+	for _, carrier := range []Carrier{CarrierQUIC, CarrierQUICStream} {
+		a, b := listenPair(t, carrier)
+		b.Handle("echo", func(context.Context, state.MemberID, []byte) ([]byte, error) { return nil, nil })
+		ctx, stop := context.WithTimeout(context.Background(), testTimeout)
+		var wg sync.WaitGroup
+		for range 50 {
+			wg.Go(func() {
+				if _, err := a.Call(ctx, member(b), "echo", nil); err != nil {
+					t.Errorf("%s: %v", carrier, err)
+				}
+			})
+		}
+		wg.Wait()
+		stop()
+		if n := b.control.accepted.Load(); n != 1 {
+			t.Errorf("%s: %d connections were opened", carrier, n)
+		}
+	}
+}
+
 // TestLateAnswerIsDropped gives up on a request, whose answer then arrives
 // while another request waits on the same connection.
 func TestLateAnswerIsDropped(t *testing.T) {
--- a/peer/quic.go
+++ b/peer/quic.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -23,9 +24,18 @@
 	transport *quic.Transport
 	listener  *quic.Listener
 	conf      *tls.Config
+	// accepted counts the connections that peers have opened.
+	accepted atomic.Int64
 
 	mu    sync.Mutex
-	conns map[string]*quic.Conn
+	conns map[string]*quicLink
+}
+
+// quicLink is the connection to one address. Its lock is held while dialling,
+// so that requests that come together share one connection.
+type quicLink struct {
+	mu   sync.Mutex
+	conn *quic.Conn
 }
 
 func quicSettings() *quic.Config {
@@ -56,7 +66,7 @@
 		transport: transport,
 		listener:  listener,
 		conf:      conf,
-		conns:     make(map[string]*quic.Conn),
+		conns:     make(map[string]*quicLink),
 	}
 	go e.acceptConns(accept)
 	return e, nil
@@ -70,6 +80,7 @@
 		if err != nil {
 			return
 		}
+		e.accepted.Add(1)
 		go acceptStreams(qc, accept)
 	}
 }
@@ -98,21 +109,31 @@
 }
 
 func (e *quicEnd) connect(ctx context.Context, address string) (*quic.Conn, error) {
-	if qc := e.open(address); qc != nil {
-		return qc, nil
+	l := e.link(address)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil && l.conn.Context().Err() == nil {
+		return l.conn, nil
 	}
 	remote, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, err
 	}
-	qc, err := e.transport.Dial(ctx, remote, clientConfig(e.conf, remote), quicSettings())
-	if err != nil {
-		return nil, err
-	}
+	ctx, stop := context.WithTimeout(ctx, dialTimeout)
+	defer stop()
+	l.conn, err = e.transport.Dial(ctx, remote, clientConfig(e.conf, remote), quicSettings())
+	return l.conn, err
+}
+
+func (e *quicEnd) link(address string) *quicLink {
 	e.mu.Lock()
-	e.conns[address] = qc
-	e.mu.Unlock()
-	return qc, nil
+	defer e.mu.Unlock()
+	l := e.conns[address]
+	if l == nil {
+		l = &quicLink{}
+		e.conns[address] = l
+	}
+	return l
 }
 
 func clientConfig(conf *tls.Config, remote *net.UDPAddr) *tls.Config {
@@ -121,17 +142,6 @@
 	return c
 }
 
-func (e *quicEnd) open(address string) *quic.Conn {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	qc := e.conns[address]
-	if qc == nil || qc.Context().Err() != nil {
-		delete(e.conns, address)
-		return nil
-	}
-	return qc
-}
-
 func (e *quicEnd) close() {
 	_ = e.listener.Close()
 	_ = e.transport.Close()
