--- a/node/metrics.go
+++ b/node/metrics.go
@@ -2,8 +2,10 @@
 
 import (
 	"expvar"
+	"sync/atomic"
 
 	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/peer"
 )
 
 // metrics are the node's own counters; the names are documented in
@@ -43,6 +45,19 @@
 	return m
 }
 
+// addTraffic publishes the bytes and frames between nodes.
+func (m *metrics) addTraffic(name string, t *peer.Traffic) {
+	counters := map[string]*atomic.Int64{
+		"_frames_sent_total":     &t.FramesSent,
+		"_frames_received_total": &t.FramesReceived,
+		"_bytes_sent_total":      &t.BytesSent,
+		"_bytes_received_total":  &t.BytesReceived,
+	}
+	for suffix, c := range counters {
+		m.vars.Set(name+suffix, expvar.Func(func() any { return c.Load() }))
+	}
+}
+
 func (m *metrics) count(r *kernel.Result) {
 	m.requests.Add(1)
 	m.outcomes.Add(r.Outcome.String(), 1)
--- a/node/node.go
+++ b/node/node.go
@@ -190,6 +190,8 @@
 	n.entry = n.plugins.Entry(kernel.HandlerFunc(noRoute))
 	n.owner = n.plugins.Owner(n.upstream)
 	n.network.Handle(callKind, n.receiveCall)
+	n.metrics.addTraffic("control", &n.network.ControlTraffic)
+	n.metrics.addTraffic("call", &n.network.CallTraffic)
 	n.callerHTTP = n.server(n)
 	n.adminHTTP = n.server(n.adminHandler())
 	return nil
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -27,11 +27,19 @@
 // handlerFunc serves one request frame.
 type handlerFunc func(ctx context.Context, kind string, from state.MemberID, body []byte) ([]byte, error)
 
+// Traffic counts the frames and bytes of one carrier, in both directions and
+// without what TLS and the network add.
+type Traffic struct {
+	FramesSent, FramesReceived atomic.Int64
+	BytesSent, BytesReceived   atomic.Int64
+}
+
 // conn multiplexes requests of both directions over one byte stream.
 type conn struct {
-	stream io.ReadWriteCloser
-	handle handlerFunc
-	nextID atomic.Uint64
+	stream  io.ReadWriteCloser
+	handle  handlerFunc
+	traffic *Traffic
+	nextID  atomic.Uint64
 	// received counts frames read, to tell a silent peer from a slow answer.
 	received atomic.Uint64
 
@@ -46,10 +54,11 @@
 }
 
 // newConn starts reading from the stream.
-func newConn(stream io.ReadWriteCloser, handle handlerFunc) *conn {
+func newConn(stream io.ReadWriteCloser, handle handlerFunc, traffic *Traffic) *conn {
 	c := &conn{
 		stream:  stream,
 		handle:  handle,
+		traffic: traffic,
 		pending: make(map[uint64]chan *frame),
 		serving: make(map[uint64]context.CancelFunc),
 		done:    make(chan struct{}),
@@ -117,7 +126,9 @@
 func (c *conn) write(buf []byte) error {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
-	_, err := c.stream.Write(buf)
+	n, err := c.stream.Write(buf)
+	c.traffic.FramesSent.Add(1)
+	c.traffic.BytesSent.Add(int64(n))
 	return err
 }
 
@@ -125,10 +136,12 @@
 	defer c.close()
 	r := bufio.NewReaderSize(c.stream, readBufferBytes)
 	for {
-		f, err := readFrame(r)
+		f, size, err := readFrame(r)
 		if err != nil {
 			return
 		}
+		c.traffic.FramesReceived.Add(1)
+		c.traffic.BytesReceived.Add(int64(size))
 		c.received.Add(1)
 		c.dispatch(f)
 	}
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -76,21 +76,22 @@
 	return buf, nil
 }
 
-// readFrame reads and checks one frame.
-func readFrame(r io.Reader) (*frame, error) {
+// readFrame reads and checks one frame; it also returns its size in bytes.
+func readFrame(r io.Reader) (*frame, int, error) {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	size := binary.BigEndian.Uint32(header[:])
 	if size > MaxFrameBytes {
-		return nil, ErrFrameTooLarge
+		return nil, 0, ErrFrameTooLarge
 	}
 	payload := make([]byte, size)
 	if _, err := io.ReadFull(r, payload); err != nil {
-		return nil, fmt.Errorf("read frame: %w", err)
+		return nil, 0, fmt.Errorf("read frame: %w", err)
 	}
-	return decodeFrame(payload)
+	f, err := decodeFrame(payload)
+	return f, frameHeaderBytes + len(payload), err
 }
 
 func decodeFrame(payload []byte) (*frame, error) {
--- a/peer/link.go
+++ b/peer/link.go
@@ -27,6 +27,7 @@
 	address string
 	dial    dialFunc
 	handle  handlerFunc
+	traffic *Traffic
 
 	mu       sync.Mutex
 	current  *conn
@@ -78,7 +79,7 @@
 	l.failure = err
 	l.failedAt = time.Now()
 	if err == nil {
-		l.current = newConn(stream, l.handle)
+		l.current = newConn(stream, l.handle, l.traffic)
 	}
 }
 
--- a/peer/network.go
+++ b/peer/network.go
@@ -78,6 +78,10 @@
 	handlers sync.Map // kind -> kernel.MessageHandler
 	links    sync.Map // linkKey -> *link
 	conns    sync.Map // *conn -> struct{}, accepted connections
+
+	// ControlTraffic is what QUIC carries, CallTraffic what TLS over TCP does.
+	ControlTraffic Traffic
+	CallTraffic    Traffic
 }
 
 type linkKey struct {
@@ -92,10 +96,10 @@
 		return nil, err
 	}
 	n := &Network{self: o.Self, carrier: o.Carrier}
-	if n.control, err = listenQUIC(o.ControlAddr, conf, n.accept); err != nil {
+	if n.control, err = listenQUIC(o.ControlAddr, conf, n.acceptFor(&n.ControlTraffic)); err != nil {
 		return nil, fmt.Errorf("listen for control messages on %s: %w", o.ControlAddr, err)
 	}
-	if n.calls, err = listenTLS(o.CallAddr, conf, n.accept); err != nil {
+	if n.calls, err = listenTLS(o.CallAddr, conf, n.acceptFor(&n.CallTraffic)); err != nil {
 		n.control.close()
 		return nil, fmt.Errorf("listen for calls on %s: %w", o.CallAddr, err)
 	}
@@ -139,7 +143,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: dial %s: %w", kernel.ErrNotSent, address, err)
 	}
-	c := newConn(stream, n.serve)
+	c := newConn(stream, n.serve, &n.ControlTraffic)
 	defer c.close()
 	return c.request(ctx, kind, n.self, body)
 }
@@ -149,22 +153,25 @@
 	if l, ok := n.links.Load(key); ok {
 		return l.(*link)
 	}
-	dial := n.control.dial
+	fresh := &link{address: address, dial: n.control.dial, handle: n.serve, traffic: &n.ControlTraffic}
 	if carrier == CarrierTLS {
-		dial = n.calls.dial
+		fresh.dial = n.calls.dial
+		fresh.traffic = &n.CallTraffic
 	}
-	l, _ := n.links.LoadOrStore(key, &link{address: address, dial: dial, handle: n.serve})
+	l, _ := n.links.LoadOrStore(key, fresh)
 	return l.(*link)
 }
 
-// accept serves a stream opened by a peer.
-func (n *Network) accept(stream io.ReadWriteCloser) {
-	c := newConn(stream, n.serve)
-	n.conns.Store(c, struct{}{})
-	go func() {
-		<-c.done
-		n.conns.Delete(c)
-	}()
+// acceptFor returns a function that serves a stream opened by a peer.
+func (n *Network) acceptFor(traffic *Traffic) func(io.ReadWriteCloser) {
+	return func(stream io.ReadWriteCloser) {
+		c := newConn(stream, n.serve, traffic)
+		n.conns.Store(c, struct{}{})
+		go func() {
+			<-c.done
+			n.conns.Delete(c)
+		}()
+	}
 }
 
 func (n *Network) serve(ctx context.Context, kind string, from state.MemberID, body []byte) ([]byte, error) {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -211,17 +211,17 @@
 		t.Fatal(err)
 	}
 	for cut := range len(good) {
-		if _, err := readFrame(bytes.NewReader(good[:cut])); err == nil {
+		if _, _, err := readFrame(bytes.NewReader(good[:cut])); err == nil {
 			t.Errorf("a frame cut at %d was accepted", cut)
 		}
 	}
 	at := bytes.Index(good, []byte("whole"))
 	good[at] ^= 1
-	if _, err := readFrame(bytes.NewReader(good)); !errors.Is(err, ErrFrameDigest) {
+	if _, _, err := readFrame(bytes.NewReader(good)); !errors.Is(err, ErrFrameDigest) {
 		t.Errorf("a damaged body: %v", err)
 	}
 	huge := []byte{0xff, 0xff, 0xff, 0xff}
-	if _, err := readFrame(bytes.NewReader(huge)); !errors.Is(err, ErrFrameTooLarge) {
+	if _, _, err := readFrame(bytes.NewReader(huge)); !errors.Is(err, ErrFrameTooLarge) {
 		t.Errorf("a huge length: %v", err)
 	}
 }
@@ -232,7 +232,7 @@
 	f.Add([]byte{0, 0, 0, 1, 0xa0})
 	f.Add([]byte{0, 0, 0, 2, 0x9f, 0xff})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		got, err := readFrame(bytes.NewReader(data))
+		got, _, err := readFrame(bytes.NewReader(data))
 		if err != nil {
 			return
 		}
@@ -240,7 +240,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := readFrame(bytes.NewReader(again)); err != nil && err != io.EOF {
+		if _, _, err := readFrame(bytes.NewReader(again)); err != nil && err != io.EOF {
 			t.Fatalf("an accepted frame does not survive a round trip: %v", err)
 		}
 	})
