--- a/peer/link.go
+++ b/peer/link.go
@@ -27,6 +27,7 @@
 	address string
 	dial    dialFunc
 	handle  handlerFunc
+	traffic *Traffic
 
 	mu       sync.Mutex
 	current  *conn
@@ -53,7 +54,7 @@
 func (l *link) state() (*conn, chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.current != nil && !l.current.isClosed() {
+	if l.current != nil && !l.current.ended() {
 		return l.current, nil, nil
 	}
 	if l.opening != nil {
@@ -78,7 +79,7 @@
 	l.failure = err
 	l.failedAt = time.Now()
 	if err == nil {
-		l.current = newConn(stream, l.handle)
+		l.current = newConn(stream, l.handle, l.traffic)
 	}
 }
 
--- a/quarantine/owner.go
+++ b/quarantine/owner.go
@@ -46,7 +46,7 @@
 	r := p.run(ctx, c, next)
 	if r.Outcome == kernel.OutcomeAnswered && before.suspect() {
 		rec := p.table.pardon(c.Fingerprint, before.Deaths, p.host.Now())
-		p.host.Go(func() { p.broadcast(c.Service, []record{rec}) })
+		p.enqueue(c.Service, []record{rec})
 	}
 	return r
 }
@@ -85,7 +85,5 @@
 	for _, fingerprint := range p.flights.died(f) {
 		records = append(records, p.table.death(fingerprint, d, now))
 	}
-	if len(records) > 0 {
-		p.tell(c.Service, records)
-	}
+	p.tell(c.Service, records)
 }
