--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -54,14 +54,14 @@
 
 // fleet is a set of daemons with their stand-ins.
 type fleet struct {
-	t         *testing.T
+	t         testing.TB
 	log       *logstandin.Service
 	logServer *httptest.Server
 	authority *devcert.Authority
 	daemons   []*daemon
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	t.Helper()
 	authority, err := devcert.New()
 	if err != nil {
@@ -75,7 +75,7 @@
 
 // daemon is one real process and the stand-in of its upstream.
 type daemon struct {
-	t        *testing.T
+	t        testing.TB
 	service  string
 	domain   string
 	caller   string
@@ -271,7 +271,7 @@
 }
 
 // eventually waits until the condition holds.
-func eventually(t *testing.T, what string, condition func() bool) {
+func eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	limit := time.Now().Add(waitLimit)
 	for !condition() {
@@ -282,7 +282,7 @@
 	}
 }
 
-func freeTCP(t *testing.T) string {
+func freeTCP(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -292,7 +292,7 @@
 	return l.Addr().String()
 }
 
-func freeUDP(t *testing.T) string {
+func freeUDP(t testing.TB) string {
 	t.Helper()
 	c, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
