Claims: contact by majority while the log is away; order of ends

Cause 1: without a read of the log's head an owner could grant new keys for one margin only.

An owner whose contact is old asks its failure domain for offsets; a majority at exactly its own offset confirms the roster. A new owner waits for Limit, shortened to Margin after a round which proves that no majority of any recent roster is left to confirm an earlier one.

Ruled out: one peer's word (below); telling a majority before each append of a change of the roster (it needs a rule in the fold, a hook in membership, and blocks changes where a majority is gone; asking afterwards needs neither).

Cause 2: notices, handovers and the answer that a key never runs took the end of a member as naming one place in the order of owners. Ends are learned outside the log, so a third owner may have come and gone in between.

Change 2: a tenure follows another at an end only if this node's view of the owner before matches, and members that rank between had come and gone before the handover, by the offset that it carries. A member that acts for a resigned one gives way when one joins that ranks before it.

--- a/claims/asker.go
+++ b/claims/asker.go
@@ -11,6 +11,13 @@
 // maxAsked bounds the members asked for one claim.
 const maxAsked = 4
 
+// maxWaits bounds the pauses of retryPause each for a shard that is being
+// handed over.
+const (
+	maxWaits   = 10
+	retryPause = 20 * time.Millisecond
+)
+
 // comeBack is the Retry-After of refusals that time resolves.
 const comeBack = time.Second
 
@@ -24,12 +31,15 @@
 	asked []state.Member
 	// holders lists the members that have granted the claim or may have.
 	holders []state.Member
+	waits   int
 }
 
 // step is what an asker does next: ask a member, or end with a result; a nil
 // result means that the claim was granted by the member asked last.
 type step struct {
-	ask    bool
+	ask bool
+	// wait is set if retryPause must pass before.
+	wait   bool
 	to     state.Member
 	result *kernel.Result
 }
@@ -100,9 +110,15 @@
 	return step{result: a.result(ans.Verdict)}
 }
 
+// redirect asks the member named as owner. If that one has been asked, the
+// shard is on its way to the member asked last.
 func (a *asker) redirect(to state.Member) step {
-	if to.ID == "" || a.hasAsked(to.ID) {
+	switch {
+	case to.ID == "" || a.waits >= maxWaits:
 		return a.unreachable("is changing owners")
+	case a.hasAsked(to.ID):
+		a.waits++
+		return step{ask: true, wait: true, to: a.asked[len(a.asked)-1]}
 	}
 	return a.ask(to, Change{})
 }
--- a/claims/doc.go
+++ b/claims/doc.go
@@ -13,25 +13,43 @@
 //
 // Two members may believe at once that they own a shard. What keeps them from
 // granting the same key is the comparison of m with the range of their
-// tenure, the period in log order for which they own it:
+// tenure, the period for which they own it:
 //
 //	low  = time at which the change that opened the tenure was applied + Margin + Skew
 //	high = last confirmed contact before the change that ended it + Margin
 //
-// A contact is the start of a read of the log's head that showed no later
-// change, so every change that the owner has not seen was appended after it;
-// hence high <= append time of the ending change + Margin. Any later tenure
-// was opened by that change or a later one and applied after it was appended,
-// on a clock that differs by at most Skew; hence its low >= high. The ranges
-// are fixed numbers when a key is compared with them, so the argument holds
-// for a pause of any length between the comparison and its effect.
-//
-// Three rules make the gaps between ranges small. An owner that learns that a
-// shard has passed to a new member sends it the end of its range, and the new
-// range starts there (claims.closed). A member that stops as planned hands
-// ranges and keys to its next owner, which acts in its place and then goes on
-// without a gap (claims.handover). The first member ever seen in a failure
-// domain starts at once, because nobody was before it.
+// A contact with the log is the start of a read of its head that showed no
+// later change. Of two members that both take themselves for the owner of a
+// shard, rendezvous hashing always prefers the same one; so one of them has
+// applied a change, the join of the preferred one or the end of the other,
+// that the other has not seen. That change was appended after the other's last
+// contact and before the first one's tenure began; hence the ranges do not
+// meet, on clocks that differ by at most Skew. The ranges are fixed numbers
+// when a key is compared with them, so the argument holds for a pause of any
+// length between the comparison and its effect. Resignations may be learned
+// outside the log: a member that has resigned grants nothing any more, so its
+// absence from a roster creates no second owner.
+//
+// # Contact without the log
+//
+// When the last contact is old, an owner asks its failure domain for offsets
+// (Round). If a majority has applied exactly what the owner has, the start of
+// the round is a contact. A new tenure, unless it starts at a known end (see
+// below), waits for Limit + Skew in place of Margin + Skew, and this is
+// shortened to Margin + Skew after a round in which so many members have
+// applied the change that no majority of any recent roster is left to confirm
+// an earlier one: a member in both majorities confirmed before it answered the
+// new owner, because offsets never decrease. Contacts by majority never carry
+// a range further than Limit past the last contact with the log, which covers
+// new owners that cannot ask enough members.
+//
+// # Handing on
+//
+// An owner that learns that a shard has passed to another member sends it the
+// end of its range, and the new range starts there (claims.closed). A member
+// that stops as planned hands ranges and keys to its next owner, which acts in
+// its place and then goes on without a gap (claims.handover). The first member
+// ever seen in a failure domain starts at once, because nobody was before it.
 //
 // # Outcomes
 //
@@ -47,13 +65,14 @@
 // Clocks of nodes must agree within Settings.Skew; callers' clocks may differ
 // by Settings.MaxAhead into the future and by the retention period into the
 // past. After the loss of an owner without a planned stop, keys of its shards
-// minted within Margin + Skew of its removal are answered unknown. While the
-// log can't be read, keys minted more than Margin after the last contact are
-// refused. The log must keep records for longer than Margin + Skew. A change
-// of the list of failure domains, or a jump over more than one configuration
-// version, restarts all tenures.
+// minted within Margin + Skew of its removal are answered unknown; where half
+// of a recent roster is gone as well, within Limit + Skew. Without contact,
+// keys minted more than Margin later are refused. Margin must be well above
+// the time between reads of the log. A log that loses appended records is not
+// covered. A change of the list of failure domains, or a jump over more than
+// one configuration version, restarts all tenures.
 //
 // Times are Unix milliseconds. The ranges follow the way leases are fenced in
-// Chubby (Burrows, 2006) and rendezvous hashing is due to Thaler and
-// Ravishankar (1998).
+// Chubby (Burrows, 2006), the majorities quorum intersection as in Paxos
+// (Lamport, 1998); rendezvous hashing is due to Thaler and Ravishankar (1998).
 package claims
--- a/claims/message.go
+++ b/claims/message.go
@@ -10,6 +10,7 @@
 	kindRelease  = "claims.release"
 	kindClosed   = "claims.closed"
 	kindHandover = "claims.handover"
+	kindOffset   = "claims.offset"
 )
 
 // Attempt identifies one submission of a request at an entry node.
@@ -24,6 +25,13 @@
 
 func (c Change) known() bool { return c.Member != "" }
 
+func (c Change) less(o Change) bool {
+	if c.Member != o.Member {
+		return c.Member < o.Member
+	}
+	return !c.Ended && o.Ended
+}
+
 // ClaimRequest asks for the right to run the request with a key, once.
 type ClaimRequest struct {
 	Key     Key     `cbor:"1,keyasint"`
@@ -102,6 +110,8 @@
 	EndMS int64 `cbor:"2,keyasint"`
 	// Since is the change by which the owner before came to own the shard.
 	Since Change `cbor:"3,keyasint"`
+	// HandedAt is Tenure.HandedAt.
+	HandedAt uint64 `cbor:"4,keyasint"`
 }
 
 // Handover carries a shard of a resigning member to its next owner. Large
@@ -112,6 +122,8 @@
 	Shard   uint16         `cbor:"3,keyasint"`
 	Tenures []Tenure       `cbor:"4,keyasint"`
 	Entries []Entry        `cbor:"5,keyasint"`
+	// Offset is what the resigning member has applied.
+	Offset uint64 `cbor:"6,keyasint"`
 }
 
 // Entry is the state of one key.
@@ -125,5 +137,14 @@
 	Released []Attempt `cbor:"5,keyasint"`
 }
 
+// OffsetRequest asks a member how much of the log it has applied.
+type OffsetRequest struct{}
+
+// OffsetAnswer answers OffsetRequest.
+type OffsetAnswer struct {
+	Member state.MemberID `cbor:"1,keyasint"`
+	Offset uint64         `cbor:"2,keyasint"`
+}
+
 // Ack acknowledges a message.
 type Ack struct{}
--- a/claims/notice.go
+++ b/claims/notice.go
@@ -32,16 +32,22 @@
 		out.Notice = ClosedNotice{Change: closed.Closed, Domains: t.domains, Holder: t.self}
 		ns[key] = out
 	}
-	out.Notice.Ends = append(out.Notice.Ends, TenureEnd{Shard: shard, EndMS: closed.endMS(), Since: closed.since()})
+	out.Notice.Ends = append(out.Notice.Ends, TenureEnd{Shard: shard, EndMS: closed.endMS(), Since: closed.since(), HandedAt: closed.HandedAt})
 }
 
-// list returns the notices ordered by receiver.
+// list returns the notices ordered by receiver and change.
 func (ns notices) list() []Outgoing {
 	out := make([]Outgoing, 0, len(ns))
 	for _, o := range ns {
 		out = append(out, *o)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].To.ID < out[j].To.ID })
+	sort.Slice(out, func(i, j int) bool {
+		a, b := &out[i], &out[j]
+		if a.To.ID != b.To.ID {
+			return a.To.ID < b.To.ID
+		}
+		return a.Notice.Change.less(b.Notice.Change)
+	})
 	return out
 }
 
@@ -84,7 +90,7 @@
 // lower starts a tenure at the end of the one directly before it. A closed
 // tenure that thereby ends earlier is passed on to the next owner.
 func (t *Table) lower(tenure *Tenure, holder state.Member, end TenureEnd, next notices) {
-	if !tenure.follows(end.Since) {
+	if !tenure.follows(end.Since, end.HandedAt) {
 		return
 	}
 	tenure.Previous = holder
--- a/claims/plugin.go
+++ b/claims/plugin.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -54,6 +55,7 @@
 	kernel.Answer(h.Peers, kindRelease, p.onRelease)
 	kernel.Answer(h.Peers, kindClosed, p.onClosed)
 	kernel.Answer(h.Peers, kindHandover, p.onHandover)
+	kernel.Answer(h.Peers, kindOffset, p.onOffset)
 	return nil
 }
 
@@ -80,26 +82,56 @@
 		p.notify(p.table.Update(snap, now))
 	}
 	p.table.Prune(now)
+	if r := p.table.NextRound(now, p.shuffle); r != nil {
+		p.host.Go(func() { p.round(r) })
+	}
+}
+
+func (p *Plugin) shuffle(n int, swap func(i, j int)) {
+	rand.New(rand.NewPCG(p.host.Rand(), 0)).Shuffle(n, swap)
+}
+
+// round asks all members of a round at once and waits for their answers.
+func (p *Plugin) round(r *Round) {
+	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	defer cancel()
+	answers := make(chan OffsetAnswer, len(r.Ask))
+	for _, m := range r.Ask {
+		go func() {
+			ans, err := kernel.Ask[OffsetRequest, OffsetAnswer](ctx, p.host.Peers, m, kindOffset, OffsetRequest{})
+			if err != nil || ans.Member != m.ID {
+				ans = OffsetAnswer{}
+			}
+			answers <- ans
+		}()
+	}
+	for range r.Ask {
+		if ans := <-answers; ans.Member != "" {
+			r.Answer(ans.Member, ans.Offset)
+		}
+	}
+	p.notify(p.table.Finish(r, p.host.Now()))
 }
 
 // Resign hands all shards to their next owners. A shard whose handover fails
 // midway is given up; it is never offered to a second member.
 func (p *Plugin) Resign(ctx context.Context) {
 	lost := make(map[state.MemberID]bool)
-	for _, out := range p.table.Resign() {
-		if lost[out.To.ID] {
+	for _, heir := range p.table.Resign() {
+		messages := p.table.Drain(heir)
+		if lost[heir.To.ID] {
 			continue
 		}
-		if err := p.handOver(ctx, out); err != nil {
-			lost[out.To.ID] = true
-			p.host.Log.Warn("claims handover failed", "to", out.To.ID, "error", err)
+		if err := p.handOver(ctx, heir, messages); err != nil {
+			lost[heir.To.ID] = true
+			p.host.Log.Warn("claims handover failed", "to", heir.To.ID, "error", err)
 		}
 	}
 }
 
-func (p *Plugin) handOver(ctx context.Context, out OutgoingHandover) error {
-	for _, m := range out.Messages {
-		if err := p.send(ctx, out.To, kindHandover, m); err != nil {
+func (p *Plugin) handOver(ctx context.Context, heir Heir, messages []Handover) error {
+	for _, m := range messages {
+		if err := p.send(ctx, heir.To, kindHandover, m); err != nil {
 			return fmt.Errorf("shard %d: %w", m.Shard, err)
 		}
 	}
@@ -160,6 +192,9 @@
 	defer cancel()
 	a, s := begin(p.host.Snapshot(), req)
 	for s.ask {
+		if s.wait {
+			pause(ctx, retryPause)
+		}
 		ans, err := p.ask(ctx, s.to, a.req)
 		switch {
 		case err == nil:
@@ -257,6 +292,10 @@
 	return Ack{}, nil
 }
 
+func (p *Plugin) onOffset(context.Context, state.MemberID, OffsetRequest) (OffsetAnswer, error) {
+	return OffsetAnswer{Member: p.host.Self.ID, Offset: p.table.Offset()}, nil
+}
+
 func (p *Plugin) onHandover(_ context.Context, from state.MemberID, h Handover) (Ack, error) {
 	if h.From != from {
 		return Ack{}, errors.New("handover of another member's shard")
--- a/claims/resign.go
+++ b/claims/resign.go
@@ -7,31 +7,46 @@
 // maxHandoverEntries bounds the keys in one handover message.
 const maxHandoverEntries = 500
 
-// OutgoingHandover is one shard to be handed over: the messages must be sent
-// in order, each after the one before has been acknowledged, all to one member.
-type OutgoingHandover struct {
-	To       state.Member
-	Messages []Handover
+// Heir is the next owner of a shard of a resigning member.
+type Heir struct {
+	Shard uint16
+	To    state.Member
 }
 
-// Resign stops all granting, for good, and returns what the next owners need
-// to go on in this node's place.
-func (t *Table) Resign() []OutgoingHandover {
+// Resign ends this node's part in all changes, for good, and returns the next
+// owners of the shards that it answers for. Its ranges no longer grow; what
+// lies within them is granted until Drain.
+func (t *Table) Resign() []Heir {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.resigned || t.roster == nil {
 		return nil
 	}
 	t.resigned = true
-	var out []OutgoingHandover
+	var heirs []Heir
 	for i := range t.shards {
-		heir, ok := t.roster.heir(uint16(i), t.self.ID)
-		tenures, entries := t.shards[i].drain(heir)
-		if ok && len(tenures)+len(entries) > 0 {
-			out = append(out, OutgoingHandover{To: heir, Messages: t.messages(uint16(i), tenures, entries)})
+		to, ok := t.roster.heir(uint16(i), t.self.ID)
+		if ok && t.shards[i].used() {
+			heirs = append(heirs, Heir{Shard: uint16(i), To: to})
 		}
 	}
-	return out
+	return heirs
+}
+
+// Drain stops all granting in a shard and returns the messages that hand it
+// over. They must be sent in order, each after the one before has been
+// acknowledged, and to no other member.
+func (t *Table) Drain(h Heir) []Handover {
+	tenures, entries := t.shards[h.Shard].drain(h.To)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.messages(h.Shard, tenures, entries)
+}
+
+func (s *shard) used() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.tenures)+len(s.entries) > 0
 }
 
 // drain empties a shard. Claims that arrive later are sent to the heir.
@@ -57,7 +72,7 @@
 
 func (t *Table) messages(shard uint16, tenures []Tenure, entries []Entry) []Handover {
 	var out []Handover
-	h := Handover{From: t.self.ID, Domains: t.domains, Shard: shard}
+	h := Handover{From: t.self.ID, Domains: t.domains, Shard: shard, Offset: t.offset}
 	for len(entries) > maxHandoverEntries {
 		part := h
 		part.Entries = entries[:maxHandoverEntries]
@@ -102,15 +117,16 @@
 }
 
 func (t *Table) adoptOpen(s *shard, h Handover, in *Tenure) {
+	in.HandedAt = h.Offset
 	now := t.roster.owners[h.Shard]
 	open := s.open()
 	heir, _ := t.roster.heir(h.Shard, h.From)
-	same := now.owner == h.From && now.opened == in.since() && in.since().known()
+	same := now.owner == h.From && now.opened == in.since() && in.since().known() && now.overtakenAt <= h.Offset
 	if open == nil && same && heir.ID == t.self.ID {
 		return
 	}
 	end := Change{Member: h.From, Ended: true}
-	if open == nil || open.Opened != end || !open.follows(in.since()) {
+	if open == nil || open.Opened != end || !open.follows(in.since(), h.Offset) {
 		in.close(Change{}, state.Member{})
 		return
 	}
--- a/claims/settings.go
+++ b/claims/settings.go
@@ -11,6 +11,11 @@
 	// Margin is how long after its last confirmed contact an owner grants new
 	// keys, and how long after a change a successor waits.
 	Margin time.Duration
+	// Limit is how long after its last contact with the log an owner grants
+	// new keys when a majority of its failure domain confirms the roster; a
+	// successor waits as long if too few members can be asked. Zero lets only
+	// the log confirm.
+	Limit time.Duration
 	// Skew bounds the difference between the clocks of any two nodes.
 	Skew time.Duration
 	// MaxAhead bounds how far in the future a key may have been minted, by
@@ -28,6 +33,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Margin:       10 * time.Second,
+		Limit:        5 * time.Minute,
 		Skew:         time.Second,
 		MaxAhead:     5 * time.Second,
 		Retention:    15 * time.Minute,
@@ -41,6 +47,8 @@
 	switch {
 	case s.Margin <= 0 || s.Skew <= 0 || s.MaxAhead < 0:
 		return errors.New("claims: margin and skew must be positive")
+	case s.Limit != 0 && s.Limit < s.Margin:
+		return errors.New("claims: limit must not be below margin")
 	case s.Retention < 2*(s.Margin+s.Skew+s.MaxAhead):
 		return errors.New("claims: retention must be at least twice margin, skew and max-ahead together")
 	case s.MaxEntries <= 0:
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -112,7 +112,7 @@
 	for minted < t.LowMS {
 		t.deny(minted)
 		before := s.selected(t.Opened)
-		if !t.Opened.known() || before == nil {
+		if !t.Opened.known() || before == nil || !t.follows(before.since(), before.HandedAt) {
 			return ClaimAnswer{Verdict: VerdictBefore, Peer: t.Previous, Closing: t.Opened}
 		}
 		t = before
--- a/claims/table.go
+++ b/claims/table.go
@@ -29,7 +29,9 @@
 	version  uint64
 	domains  uint64
 	lastSeq  uint64
+	offset   uint64
 	roster   *roster
+	quorum   quorum
 	// highMS is the latest contact plus the margin.
 	highMS int64
 	// ends holds notices whose change has not been applied yet.
@@ -88,6 +90,7 @@
 		t.reset(snap, now)
 	}
 	t.setDomains(snap)
+	t.offset = snap.Offset
 	if !t.started && !t.member(snap) {
 		return nil
 	}
@@ -188,9 +191,10 @@
 	for _, m := range members {
 		base = append(base, m)
 	}
-	t.roster = newRoster(base)
-	if len(snap.Events) > 0 && snap.Events[0].Seq != 1 {
+	t.roster = newRoster(t.self.ID, base, snap.Offset)
+	if len(snap.Events) == 0 || snap.Events[0].Seq != 1 {
 		t.roster.fresh = false
+		t.blind(now)
 	}
 	t.openAll(now)
 }
@@ -210,7 +214,8 @@
 		s.mu.Unlock()
 	}
 	clear(t.ends)
-	t.roster = newRoster(snap.Domain(t.self.Domain))
+	t.blind(now)
+	t.roster = newRoster(t.self.ID, snap.Domain(t.self.Domain), snap.Offset)
 	t.roster.fresh = false
 	if n := len(snap.Events); n > 0 {
 		t.lastSeq = snap.Events[n-1].Seq
@@ -234,7 +239,7 @@
 }
 
 func (t *Table) newTenure(o ownership, since time.Time) *Tenure {
-	wait := t.settings.Margin + t.settings.Skew
+	wait := max(t.settings.Margin, t.settings.Limit) + t.settings.Skew
 	return &Tenure{
 		LowMS:    since.Add(wait).UnixMilli() + 1,
 		HighMS:   t.highMS,
@@ -244,6 +249,8 @@
 		Owner:    t.self.ID,
 
 		previousOpened: o.previousOpened,
+		overtakenAt:    o.previousOvertakenAt,
+		openedAt:       t.offset,
 	}
 }
 
@@ -251,9 +258,8 @@
 func (t *Table) apply(e state.RosterEvent) []Outgoing {
 	fresh := t.roster.fresh
 	notices := make(notices)
-	if !e.Ended {
-		t.yield(e.Member, notices)
-	}
+	t.remember(e.Observed)
+	t.roster.offset = t.offset
 	for _, mv := range t.roster.apply(e) {
 		s := &t.shards[mv.shard]
 		s.mu.Lock()
@@ -266,11 +272,14 @@
 		}
 		s.mu.Unlock()
 	}
+	if !e.Ended {
+		t.yield(e.Member, notices)
+	}
 	return notices.list()
 }
 
 // yield closes the tenures that this node has taken over from a member that
-// has resigned, where a new member is the next owner in its place. The new
+// has resigned and that still owns them by the roster, where a new member is the next owner in its place. The new
 // member owns them as soon as it learns of the resignation.
 func (t *Table) yield(joined state.Member, notices notices) {
 	for i := range t.shards {
@@ -306,6 +315,9 @@
 	n := t.newTenure(mv.ownership, since)
 	if fresh {
 		n.LowMS = since.UnixMilli()
+	} else if t.settings.Limit > 0 {
+		n.unsettled = true
+		t.quorum.unsettledUntil = since.Add(t.settings.Limit)
 	}
 	s.tenures = append(s.tenures, n)
 	id := pendingEnd{change: mv.opened, shard: mv.shard}
@@ -315,12 +327,21 @@
 	}
 }
 
-// confirm extends the open tenures to the margin after the latest contact.
+// confirm takes in the latest contact with the log.
 func (t *Table) confirm(snap *state.Snapshot) {
-	if snap.Contact.IsZero() {
+	if !snap.Contact.After(t.quorum.logContact) {
 		return
 	}
-	highMS := snap.Contact.Add(t.settings.Margin).UnixMilli()
+	t.quorum.logContact = snap.Contact
+	if snap.Contact.After(t.quorum.contact) {
+		t.quorum.contact = snap.Contact
+	}
+	t.extend(snap.Contact.Add(t.settings.Margin))
+}
+
+// extend moves the end of the open tenures up to a time.
+func (t *Table) extend(high time.Time) {
+	highMS := high.UnixMilli()
 	if highMS <= t.highMS {
 		return
 	}
--- a/claims/tenure.go
+++ b/claims/tenure.go
@@ -28,9 +28,18 @@
 	// Taken is the latest planned stop by which the tenure, still open, passed
 	// to another member; zero if there was none.
 	Taken Change `cbor:"9,keyasint"`
+	// HandedAt is the offset that the member had applied that handed the
+	// tenure over last.
+	HandedAt uint64 `cbor:"10,keyasint"`
 	// previousOpened is the change since which the owner before had owned the
 	// shard, as far as this node has seen.
 	previousOpened Change
+	// overtakenAt is ownership.previousOvertakenAt.
+	overtakenAt uint64
+	// unsettled is set while an earlier owner may still confirm its roster;
+	// openedAt is the offset that this node had applied when it began.
+	unsettled bool
+	openedAt  uint64
 	// next is the owner after a closed tenure, where known.
 	next state.Member
 }
@@ -64,12 +73,16 @@
 	return t.Opened
 }
 
-// follows reports whether a tenure that its owner held since a change comes
-// directly before this one. Resignations spread outside the log, so nodes may
+// follows reports whether a tenure that its owner held since a change, and
+// handed over at an offset, comes directly before this one. Resignations spread outside the log, so nodes may
 // see an end at different places between the changes in the log; the change
-// that began the tenure before tells. A join is seen at one place only.
-func (t *Tenure) follows(since Change) bool {
-	return !t.Opened.Ended || since.known() && t.previousOpened == since
+// that began the tenure before tells, unless a third owner may have come and
+// gone in between. A join is seen at one place only.
+func (t *Tenure) follows(since Change, handedAt uint64) bool {
+	if !t.Opened.Ended {
+		return true
+	}
+	return since.known() && t.previousOpened == since && t.overtakenAt <= handedAt
 }
 
 // lower starts the range at the end of the tenure before. It reports whether
