--- a/claims/asker.go
+++ b/claims/asker.go
@@ -104,23 +104,35 @@
 		return step{}
 	case VerdictNotOwner:
 		return a.redirect(ans.Peer)
+	case VerdictMoving:
+		return a.again()
 	case VerdictBefore:
 		return a.before(ans)
 	}
 	return step{result: a.result(ans.Verdict)}
 }
 
-// redirect asks the member named as owner. If that one has been asked, the
-// shard is on its way to the member asked last.
+// redirect asks the member named as owner; the heir of a resigned member
+// answers for its earlier tenures, too. If that member has been asked the same
+// before, the shard is on its way to the member asked last.
 func (a *asker) redirect(to state.Member) step {
+	closing := a.req.Closing
 	switch {
-	case to.ID == "" || a.waits >= maxWaits:
+	case to.ID == "":
 		return a.unreachable("is changing owners")
-	case a.hasAsked(to.ID):
-		a.waits++
-		return step{ask: true, wait: true, to: a.asked[len(a.asked)-1]}
+	case a.hasAsked(to.ID) && !closing.known():
+		return a.again()
 	}
-	return a.ask(to, Change{})
+	return a.ask(to, closing)
+}
+
+// again repeats the last question after a pause.
+func (a *asker) again() step {
+	if a.waits >= maxWaits {
+		return a.unreachable("is changing owners")
+	}
+	a.waits++
+	return step{ask: true, wait: true, to: a.asked[len(a.asked)-1]}
 }
 
 func (a *asker) before(ans ClaimAnswer) step {
--- a/claims/plugin.go
+++ b/claims/plugin.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/binary"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -119,23 +118,21 @@
 	lost := make(map[state.MemberID]bool)
 	for _, heir := range p.table.Resign() {
 		messages := p.table.Drain(heir)
-		if lost[heir.To.ID] {
-			continue
-		}
-		if err := p.handOver(ctx, heir, messages); err != nil {
-			lost[heir.To.ID] = true
-			p.host.Log.Warn("claims handover failed", "to", heir.To.ID, "error", err)
+		if !lost[heir.To.ID] {
+			lost[heir.To.ID] = !p.handOver(ctx, heir, messages)
 		}
+		p.table.Moved(heir)
 	}
 }
 
-func (p *Plugin) handOver(ctx context.Context, heir Heir, messages []Handover) error {
+func (p *Plugin) handOver(ctx context.Context, heir Heir, messages []Handover) bool {
 	for _, m := range messages {
 		if err := p.send(ctx, heir.To, kindHandover, m); err != nil {
-			return fmt.Errorf("shard %d: %w", m.Shard, err)
+			p.host.Log.Warn("claims handover failed", "shard", m.Shard, "to", heir.To.ID, "error", err)
+			return false
 		}
 	}
-	return nil
+	return true
 }
 
 func (p *Plugin) serve(ctx context.Context, c *kernel.Call, next kernel.Handler) *kernel.Result {
--- a/claims/resign.go
+++ b/claims/resign.go
@@ -35,7 +35,8 @@
 
 // Drain stops all granting in a shard and returns the messages that hand it
 // over. They must be sent in order, each after the one before has been
-// acknowledged, and to no other member.
+// acknowledged, and to no other member. Claims are answered VerdictMoving until
+// Moved is called.
 func (t *Table) Drain(h Heir) []Handover {
 	tenures, entries := t.shards[h.Shard].drain(h.To)
 	t.mu.Lock()
@@ -43,13 +44,22 @@
 	return t.messages(h.Shard, tenures, entries)
 }
 
+// Moved ends the handover of a shard; claims are now sent to the heir.
+func (t *Table) Moved(h Heir) {
+	s := &t.shards[h.Shard]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.moving = false
+	s.moved = true
+}
+
 func (s *shard) used() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.tenures)+len(s.entries) > 0
 }
 
-// drain empties a shard. Claims that arrive later are sent to the heir.
+// drain empties a shard.
 func (s *shard) drain(heir state.Member) ([]Tenure, []Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -67,6 +77,7 @@
 	s.tenures = nil
 	s.entries = nil
 	s.owner = heir
+	s.moving = true
 	return tenures, entries
 }
 
--- a/claims/world_test.go
+++ b/claims/world_test.go
@@ -325,7 +325,7 @@
 // resign hands over shard by shard, each message after the last one's ack.
 func (w *world) resign(n *simNode) {
 	for _, heir := range n.table.Resign() {
-		n.do(w.rng.Int64N(200), func() { w.handOver(n, heir.To.ID, n.table.Drain(heir), 0) })
+		n.do(w.rng.Int64N(200), func() { w.handOver(n, heir, n.table.Drain(heir), 0) })
 	}
 	w.at(1500, func() {
 		for range 3 {
@@ -337,9 +337,10 @@
 	w.at(1500+w.rng.Int64N(8000), func() { w.appendEvent(n.member, true) })
 }
 
-func (w *world) handOver(n *simNode, to state.MemberID, messages []Handover, tries int) {
-	heir := w.node(to)
+func (w *world) handOver(n *simNode, to Heir, messages []Handover, tries int) {
+	heir := w.node(to.To.ID)
 	if len(messages) == 0 || heir == nil || tries == 3 {
+		n.table.Moved(to)
 		return
 	}
 	acked := false
--- a/membership/duties.go
+++ b/membership/duties.go
@@ -9,8 +9,8 @@
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
-// listChunk bounds the IDs or keys in one record of a refresh.
-const listChunk = 1024
+// keysChunk bounds the keys in one record of a refresh.
+const keysChunk = 512
 
 // unknownRefreshes is the number of refresh intervals after which a node whose
 // version is unknown writes a refresh with what it has. By then every node
@@ -25,13 +25,17 @@
 	// outsideSince is when the first of the items that are not in the log was
 	// learned; zero means that there are none.
 	outsideSince time.Time
-	// reachable is when the log could be read again after failed reads. Waits by
-	// rank begin then, or all nodes would append at once after an outage.
+	// reachable is when the log's head was learned again after it could not be.
+	// Waits by rank begin then, or all nodes would append at once after an outage.
 	reachable time.Time
 	// accepted is set while this node owes the log an item that it accepted.
 	accepted bool
 }
 
+// staleContact is the age of the contact with the log from which a node takes
+// the log for away and appends nothing on behalf of all.
+const staleContact = 15 * time.Second
+
 // newDuties spreads the first refresh over the interval, so that it happens
 // also in a fleet whose nodes are replaced faster than it passes.
 func newDuties(now time.Time, rand uint64, refresh time.Duration) duties {
@@ -78,41 +82,51 @@
 	s.removeGone(ctx)
 }
 
+// logAway reports whether this node's contact with the log is stale.
+func (s *Service) logAway(now time.Time) bool {
+	return now.Sub(s.Snapshot().Contact) > staleContact
+}
+
+// confirm records a contact with the log as of a time if every record before
+// next is applied. It is called with mu held.
+func (s *Service) confirm(next uint64, begun time.Time) bool {
+	before := s.Snapshot().Contact
+	if !s.fold.Confirm(next, begun) {
+		return false
+	}
+	if begun.Sub(before) > staleContact {
+		s.duties.reachable = s.o.Now()
+	}
+	return true
+}
+
 // rankWait returns how long this node leaves a duty to those ranked before it.
 func (s *Service) rankWait(purpose string) time.Duration {
 	return time.Duration(rank(s.Snapshot(), s.o.Self.ID, purpose)) * s.o.Intervals.RankDelay
 }
 
-// appendOutside appends withdrawals and resignations that the log lacks.
+// appendOutside appends what was told outside the log and is not in it.
 func (s *Service) appendOutside(ctx context.Context) {
 	now := s.o.Now()
 	s.mu.Lock()
-	withdrawn, resigned := s.fold.Outside()
-	s.duties.outside(len(withdrawn)+len(resigned) > 0, now)
+	outside := s.fold.Outside()
+	s.duties.outside(!outside.Empty(), now)
 	missing, accepted := !s.duties.outsideSince.IsZero(), s.duties.accepted
 	since := s.duties.since(s.duties.outsideSince)
 	s.mu.Unlock()
+	if !accepted && s.logAway(now) {
+		return
+	}
 	if !missing || !accepted && now.Before(since.Add(s.rankWait("outside"))) {
 		return
 	}
-	if err := s.appendAll(ctx, outsideRecords(withdrawn, resigned)); err != nil {
-		s.o.Logger.Warn("withdrawals and resignations are not in the log yet", "error", err)
+	if err := s.appendAll(ctx, outside.Records()); err != nil {
+		s.o.Logger.Warn("what was told outside the log is not in it yet", "error", err)
 		return
 	}
 	_ = s.poll(ctx)
 }
 
-func outsideRecords(withdrawn []string, resigned []state.MemberID) []state.Record {
-	var records []state.Record
-	for ids := range slices.Chunk(withdrawn, listChunk) {
-		records = append(records, state.WithdrawRecord{KeyIDs: ids})
-	}
-	for _, id := range resigned {
-		records = append(records, state.EndRecord{ID: id, By: id, Reason: state.EndResigned})
-	}
-	return records
-}
-
 // refresh appends the withdrawals, the issued keys and the configuration again
 // before the log forgets them.
 func (s *Service) refresh(ctx context.Context) {
@@ -125,7 +139,7 @@
 	fresh := s.fold.Offset() == 0
 	since := s.duties.since(due)
 	s.mu.Unlock()
-	if fresh || now.Before(due) || now.Before(since.Add(s.rankWait("refresh"))) {
+	if fresh || s.logAway(now) || now.Before(due) || now.Before(since.Add(s.rankWait("refresh"))) {
 		return
 	}
 	s.mu.Lock()
@@ -142,11 +156,8 @@
 // since it marks the refresh as done.
 func refreshRecords(f *state.Fold) []state.Record {
 	snap := f.Snapshot()
-	var records []state.Record
-	for ids := range slices.Chunk(slices.Sorted(maps.Keys(snap.Withdrawn)), listChunk) {
-		records = append(records, state.WithdrawRecord{KeyIDs: ids})
-	}
-	for keys := range slices.Chunk(f.IssuedKeys(), listChunk) {
+	records := state.Outside{Withdrawn: slices.Sorted(maps.Keys(snap.Withdrawn))}.Records()
+	for keys := range slices.Chunk(f.IssuedKeys(), keysChunk) {
 		records = append(records, state.KeysRecord{Keys: keys})
 	}
 	return append(records, state.RefreshRecord{
--- a/ratelimit/failure_test.go
+++ b/ratelimit/failure_test.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -45,7 +46,7 @@
 				var got comparison
 				x := map[string]float64{"0.5": 0.5, "0.9": 0.9}[load]
 				for range b.N {
-					got = scenario{failureCustomer, x, placements[0], f.faults}.run(4)
+					got = scenario{failureCustomer, x, placements[0], f.faults}.run(4, runLength)
 				}
 				b.ReportMetric(100*got.wrongShare(), "%wrong")
 				b.ReportMetric(0, "ns/op")
@@ -56,7 +57,7 @@
 
 // TestLogOutageRefusesNothing: owners go on by confirmation of their domain.
 func TestLogOutageRefusesNothing(t *testing.T) {
-	got := scenario{failureCustomer, 0.5, placements[0], logOutage}.run(2)
+	got := scenario{failureCustomer, 0.5, placements[0], logOutage}.run(2, runLength)
 	if got.wrongShare() > 0.005 {
 		t.Errorf("seeds 0 and 1: %.2f %% refused wrongly while the log is away", 100*got.wrongShare())
 	}
@@ -64,7 +65,7 @@
 
 // TestOwnerDeathIsShort: the other domains lend while the pool has no owner.
 func TestOwnerDeathIsShort(t *testing.T) {
-	got := scenario{failureCustomer, 0.5, placements[0], ownerDeath}.run(2)
+	got := scenario{failureCustomer, 0.5, placements[0], ownerDeath}.run(2, runLength)
 	if got.wrongShare() > 0.05 {
 		t.Errorf("seeds 0 and 1: %.2f %% refused wrongly in the 30 s after the death of an owner", 100*got.wrongShare())
 	}
@@ -91,3 +92,62 @@
 		}
 	}
 }
+
+// BenchmarkControlTraffic reports the control messages of a node, sent and
+// received and without transport, at a fixed demand of 14 root requests a
+// second and node for eight customers.
+func BenchmarkControlTraffic(b *testing.B) {
+	for _, nodes := range []int{8, 16, 32, 64} {
+		for _, load := range []float64{0.8, 5} {
+			b.Run(fmt.Sprintf("nodes=%d/load=%.1f", nodes, load), func(b *testing.B) {
+				for range b.N {
+					reportTraffic(b, nodes, load)
+				}
+			})
+		}
+	}
+}
+
+func reportTraffic(b *testing.B, nodes int, load float64) {
+	var customers []config.Customer
+	demand := 14 * float64(nodes) / 8
+	for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		customers = append(customers, config.Customer{Name: name, Rate: demand / load, Burst: max(6, demand/load)})
+	}
+	f := newFleet(1, []string{"d1", "d2"}, nodes/2, customers)
+	for _, c := range customers {
+		f.arrivals(c.Name, demand, runLength, f.anyLive)
+	}
+	f.run(warmUp)
+	f.measured = true
+	f.run(runLength)
+	bytes, messages, most := 0, 0, 0
+	for _, n := range f.nodes {
+		bytes += n.bytes
+		messages += n.messages
+		most = max(most, n.bytes)
+	}
+	perNode := float64(nodes) * (runLength - warmUp).Seconds()
+	b.ReportMetric(float64(bytes)/perNode, "B/s")
+	b.ReportMetric(float64(messages)/perNode, "messages/s")
+	b.ReportMetric(float64(most)/(runLength-warmUp).Seconds(), "most-B/s")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkTrafficByDemand reports the messages of the whole fleet per
+// admitted request, without failures.
+func BenchmarkTrafficByDemand(b *testing.B) {
+	for _, c := range comparedCustomers {
+		for _, p := range placements {
+			b.Run(fmt.Sprintf("rate=%.0f/%s", c.Rate, p.name), func(b *testing.B) {
+				var got comparison
+				measure := func(f *fleet) { f.measured = true }
+				for range b.N {
+					got = scenario{c, 0.9, p, measure}.run(2, runLength)
+				}
+				b.ReportMetric(float64(got.messages)/float64(got.total), "messages/admitted")
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/gooseberryflow/gooseberryflow/config"
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
@@ -31,11 +33,22 @@
 	arrived func(customer string) func(admitted bool)
 	// decide replaces the cores' decision if set.
 	decide func(n *simNode) bool
+	// rates holds the largest known rate of a customer at each interval.
+	rates map[string][]float64
 	// admitted holds the times of all admissions of a customer.
 	admitted map[string][]time.Duration
-	messages int
-	bytes    int
-	next     int
+	// measured is set when the messages are to be counted.
+	measured bool
+	// waited counts the admissions that waited for a message.
+	waited int
+	next   int
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
 }
 
 // messageFaults are probabilities.
@@ -51,6 +64,17 @@
 	offset time.Duration
 	drift  float64
 	noLog  bool
+	// messages and bytes count what is sent and received, without transport.
+	messages, bytes int
+}
+
+func (n *simNode) count(msg any) {
+	b, err := cbor.Marshal(msg)
+	if err != nil {
+		panic(err)
+	}
+	n.messages++
+	n.bytes += len(b)
 }
 
 type event struct {
@@ -88,6 +112,7 @@
 		noLog:    map[string]bool{},
 		arrived:  func(string) func(bool) { return func(bool) {} },
 		admitted: map[string][]time.Duration{},
+		rates:    map[string][]float64{},
 		config:   &config.Config{Customers: customers, FailureDomains: domains},
 	}
 	for _, d := range domains {
@@ -216,8 +241,10 @@
 
 // send delivers a message with the faults of the fleet.
 func (f *fleet) send(from, to *simNode, msg any, deliver func()) {
-	f.messages++
-	f.bytes += encodedSize(msg)
+	if f.measured && from != to {
+		from.count(msg)
+		to.count(msg)
+	}
 	if from != to && (f.cut[link(from.member.Domain, to.member.Domain)] || f.rnd.Float64() < f.faults.lost) {
 		return
 	}
@@ -266,10 +293,11 @@
 	customer string
 	deadline time.Duration
 	decided  func(admitted bool)
+	waited   bool
 }
 
 func (f *fleet) request(n *simNode, customer string) {
-	r := &simRequest{n, customer, f.now + f.timing.Wait, f.arrived(customer)}
+	r := &simRequest{n, customer, f.now + f.timing.Wait, f.arrived(customer), false}
 	if f.decide != nil {
 		r.decided(f.decide(n))
 		return
@@ -288,6 +316,7 @@
 	case Admit:
 		f.admit(r, d)
 	case Wait:
+		r.waited = true
 		f.at(min(f.now+500*time.Microsecond, r.deadline), r.node, func() {
 			last := f.now >= r.deadline
 			d, asks := r.node.entry.Retry(r.node.snap, r.customer, last, f.clock(r.node))
@@ -304,6 +333,7 @@
 		admitted := d.Stands(decided, f.clock(r.node), f.timing)
 		if admitted {
 			f.admitted[r.customer] = append(f.admitted[r.customer], f.now)
+			f.waited += btoi(r.waited)
 		}
 		r.decided(admitted)
 	}
--- a/ratelimit/tenure.go
+++ b/ratelimit/tenure.go
@@ -10,12 +10,11 @@
 // Tenure decides from when and until when this node may act as the owner of a
 // pool of its failure domain, so that no two nodes do at once.
 //
-// The owner acts until its last contact plus Timing.Contact. A contact is a
-// read of the log's head, or, while the log is away, a confirmation by three
-// quarters of the domain's roster that they see the same roster. A successor
-// first has a majority of its roster promise not to confirm the old roster any
-// more, then waits until the authority and the leases of its predecessors have
-// ended.
+// The owner acts for a time after a read of the log's head, and, while the log
+// is away, for a time after three quarters of the domain's roster have confirmed
+// that they see the same roster. A successor first has a majority of its roster
+// promise not to confirm the old roster any more, then waits until the authority
+// and the leases of its predecessors have ended.
 type Tenure struct {
 	mu      sync.Mutex
 	self    state.MemberID
@@ -38,6 +37,7 @@
 	promises []promise
 	poll     pollRound
 	rounds   uint64
+	resigned bool
 }
 
 // handover is a change that has made this node the owner of a pool which
@@ -48,41 +48,48 @@
 	promised time.Time
 }
 
-// promise holds until this node has read the log's head after it.
-type promise struct {
-	digest uint64
-	at     time.Time
-}
-
-// pollRound is a poll of the domain's roster in progress.
-type pollRound struct {
-	round    uint64
-	digest   uint64
-	takeover bool
-	sent     time.Time
-	acks     map[state.MemberID]bool
-	done     bool
-}
-
 // NewTenure returns a tenure that has seen no snapshot.
 func NewTenure(self state.Member, t Timing) *Tenure {
 	return &Tenure{self: self.ID, domain: self.Domain, timing: t, handovers: map[string]*handover{}}
 }
 
-// Observe takes in a snapshot. A pool that this node has not owned all the
+// Observe takes in a snapshot and returns the newest one, which it is unless
+// another goroutine was faster. A pool that this node has not owned all the
 // time since the snapshot before, as far as it can tell, is to be taken over.
-func (t *Tenure) Observe(snap *state.Snapshot, now time.Time) {
+func (t *Tenure) Observe(snap *state.Snapshot, now time.Time) *state.Snapshot {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if snap == t.snap {
-		return
+	if snap != t.snap && !t.stale(snap) {
+		t.observe(snap, now)
+	}
+	return t.snap
+}
+
+// stale reports whether a snapshot is older than the one observed last.
+func (t *Tenure) stale(snap *state.Snapshot) bool {
+	if t.snap == nil {
+		return false
 	}
+	return snap.Offset < t.snap.Offset || snap.Contact.Before(t.snap.Contact) || latestSeq(snap) < t.lastSeq
+}
+
+func latestSeq(snap *state.Snapshot) uint64 {
+	if len(snap.Events) == 0 {
+		return 0
+	}
+	return snap.Events[len(snap.Events)-1].Seq
+}
+
+func (t *Tenure) observe(snap *state.Snapshot, now time.Time) {
 	missed := t.missed(snap)
 	ended := t.newlyEnded(snap)
 	roster := snap.Domain(t.domain)
 	digest := rosterDigest(roster)
 	missed = missed || digest != t.digest && !t.advanced
 	changed := t.snap == nil || digest != t.digest || snap.Config != t.snap.Config
+	if digest != t.digest {
+		t.leave(t.digest)
+	}
 	t.snap, t.roster, t.digest = snap, roster, digest
 	if !changed && len(ended) == 0 && !missed {
 		return
@@ -190,23 +197,34 @@
 // authority is the end of the time for which this node is known not to have
 // been replaced.
 func (t *Tenure) authority() time.Time {
-	contact := t.snap.Contact
-	if t.quorumAt.After(contact) {
-		contact = t.quorumAt
+	if t.resigned {
+		return time.Time{}
+	}
+	contact := t.snap.Contact.Add(t.timing.contactTime(len(t.snap.Members)))
+	confirmed := t.quorumAt.Add(t.timing.Confirmed)
+	if confirmed.After(contact) {
+		return confirmed
 	}
-	return contact.Add(t.timing.Contact)
+	return contact
+}
+
+// Resign ends the authority of this node for good.
+func (t *Tenure) Resign() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.resigned = true
 }
 
 // Tick drops completed takeovers and returns the polls to send.
 func (t *Tenure) Tick(now time.Time) []OutgoingPoll {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.snap == nil || len(t.owned) == 0 {
+	if t.snap == nil || t.resigned || len(t.owned) == 0 {
 		return nil
 	}
 	t.dropCompleted(now)
 	takeover := t.awaitsPromise()
-	if !takeover && now.Before(t.authority().Add(-t.timing.Contact*2/3)) {
+	if !takeover && now.Before(t.authority().Add(-t.timing.Confirmed/2)) {
 		return nil
 	}
 	if now.Sub(t.poll.sent) < t.pollInterval() && t.poll.takeover == takeover && t.poll.digest == t.digest {
@@ -215,12 +233,9 @@
 	return t.begin(takeover, now)
 }
 
-// pollInterval gives a confirmation three tries before the authority ends.
-func (t *Tenure) pollInterval() time.Duration { return t.timing.Contact / 4 }
-
 func (t *Tenure) dropCompleted(now time.Time) {
 	for customer, h := range t.handovers {
-		if !h.promised.IsZero() && !now.Before(h.promised.Add(t.timing.takeoverWait())) {
+		if !h.promised.IsZero() && !now.Before(h.promised.Add(t.timing.takeoverWait(len(t.snap.Members)))) {
 			delete(t.handovers, customer)
 		}
 	}
@@ -234,121 +249,3 @@
 	}
 	return false
 }
-
-func (t *Tenure) begin(takeover bool, now time.Time) []OutgoingPoll {
-	t.rounds++
-	t.poll = pollRound{
-		round:    t.rounds,
-		digest:   t.digest,
-		takeover: takeover,
-		sent:     now,
-		acks:     map[state.MemberID]bool{},
-	}
-	msg := Poll{Digest: t.digest, Round: t.rounds, Takeover: takeover}
-	out := make([]OutgoingPoll, 0, len(t.roster))
-	for _, m := range t.roster {
-		if m.ID != t.self {
-			out = append(out, OutgoingPoll{To: m, Poll: msg})
-		}
-	}
-	if t.answer(msg, now) {
-		t.count(t.self, now)
-	}
-	return out
-}
-
-// Answer answers a poll of another node.
-func (t *Tenure) Answer(p Poll, now time.Time) PollAnswer {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return PollAnswer{Round: p.Round, OK: t.answer(p, now)}
-}
-
-func (t *Tenure) answer(p Poll, now time.Time) bool {
-	if t.snap == nil {
-		return false
-	}
-	t.dropPromises()
-	if p.Takeover {
-		return t.promise(p.Digest, now)
-	}
-	if p.Digest != t.digest {
-		return false
-	}
-	for _, pr := range t.promises {
-		if pr.digest != p.Digest {
-			return false
-		}
-	}
-	return true
-}
-
-// maxPromises bounds the promises kept between two reads of the log's head.
-const maxPromises = 64
-
-// promise records a takeover; an equal one is only moved in time.
-func (t *Tenure) promise(digest uint64, now time.Time) bool {
-	for i := range t.promises {
-		if t.promises[i].digest == digest {
-			t.promises[i].at = now
-			return true
-		}
-	}
-	if len(t.promises) == maxPromises {
-		return false
-	}
-	t.promises = append(t.promises, promise{digest: digest, at: now})
-	return true
-}
-
-// dropPromises drops those made before the last read of the log's head: the
-// snapshot then contains the change that led to them.
-func (t *Tenure) dropPromises() {
-	kept := t.promises[:0]
-	for _, p := range t.promises {
-		if !t.snap.Contact.After(p.at) {
-			kept = append(kept, p)
-		}
-	}
-	t.promises = kept
-}
-
-// Answered takes in the answer of a member.
-func (t *Tenure) Answered(from state.MemberID, a PollAnswer, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if a.OK && a.Round == t.poll.round {
-		t.count(from, now)
-	}
-}
-
-func (t *Tenure) count(from state.MemberID, now time.Time) {
-	p := &t.poll
-	if p.done || p.digest != t.digest || !contains(t.roster, from) {
-		return
-	}
-	p.acks[from] = true
-	if len(p.acks) < quorum(len(t.roster), p.takeover) {
-		return
-	}
-	p.done = true
-	if !p.takeover {
-		t.quorumAt = p.sent
-		return
-	}
-	for _, h := range t.handovers {
-		if h.promised.IsZero() && !h.at.After(p.sent) {
-			h.promised = now
-		}
-	}
-}
-
-// quorum is a majority for a takeover and three quarters for a confirmation:
-// the two share a member also when up to a quarter of the roster has been
-// replaced between them.
-func quorum(n int, takeover bool) int {
-	if takeover {
-		return n/2 + 1
-	}
-	return (3*n + 3) / 4
-}
