Claims: rounds back off; a node that may lack rosters confirms nothing

Cause 1: a round that can't settle new tenures was repeated every 500 ms for up to Limit; at 183 members that is 228 requests a second (worked out). Change 1: the pause doubles up to 32 s, from the last change on.

Found by reading. Change 2: it confirms nothing within Limit of its start.

--- a/claims/model_test.go
+++ b/claims/model_test.go
@@ -193,7 +193,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			w := newWorld(3, 5, false)
-			w.runUntil(w.now + 5000)
+			w.runUntil(w.now + 15_000) // past the limit, so that the first small rosters are forgotten
 			var members []*simNode
 			for _, n := range w.nodes {
 				if n.member.Domain == "a" {
--- a/claims/quorum.go
+++ b/claims/quorum.go
@@ -21,8 +21,12 @@
 	contactPeriodDivisor = 8
 )
 
-// settlePeriod is the time between rounds that settle new tenures.
-const settlePeriod = 500 * time.Millisecond
+// settlePeriod is the time to the second round that settles new tenures; it
+// doubles with each round up to maxSettleDoublings.
+const (
+	settlePeriod       = 500 * time.Millisecond
+	maxSettleDoublings = 6
+)
 
 // Round asks members of the failure domain for their offsets in the log. All
 // at the asker's own offset, a majority confirms that its roster is current.
@@ -52,6 +56,8 @@
 	contact        time.Time
 	asked          time.Time
 	running        bool
+	// tries counts the rounds since a tenure has last become unsettled.
+	tries int
 }
 
 type pastRoster struct {
@@ -78,6 +84,7 @@
 		return nil
 	}
 	t.quorum.asked = now
+	t.quorum.tries++
 	t.quorum.running = true
 	r := &Round{offset: t.offset, begun: now, offsets: make(map[state.MemberID]uint64)}
 	r.Ask = t.roster.others(t.self.ID)
@@ -90,7 +97,8 @@
 
 func (t *Table) roundDue(now time.Time) bool {
 	q := &t.quorum
-	if now.Before(q.unsettledUntil) && now.Sub(q.asked) >= settlePeriod {
+	pause := settlePeriod << min(max(q.tries-1, 0), maxSettleDoublings)
+	if now.Before(q.unsettledUntil) && (q.tries == 0 || now.Sub(q.asked) >= pause) {
 		return true
 	}
 	old := now.Sub(q.contact) >= t.settings.Margin/contactAgeDivisor
@@ -106,8 +114,8 @@
 		return nil
 	}
 	t.prunePast(now)
-	if t.confirmedBy(r) {
-		t.quorum.contact = r.begun
+	if t.confirmedBy(r, now) {
+		t.quorum.contact = later(t.quorum.contact, r.begun)
 		t.extend(t.capped(r.begun))
 	}
 	if now.Before(t.quorum.unsettledUntil) && t.superseded(r, now) {
@@ -118,9 +126,10 @@
 
 // confirmedBy reports whether a majority has applied exactly what this node
 // has. It counts against the largest recent roster, because members that have
-// resigned leave the roster at different times at different nodes.
-func (t *Table) confirmedBy(r *Round) bool {
-	if r.offset != t.offset {
+// resigned leave the roster at different times at different nodes; a node that
+// may have missed some confirms nothing.
+func (t *Table) confirmedBy(r *Round, now time.Time) bool {
+	if r.offset != t.offset || now.Before(t.quorum.blindUntil) {
 		return false
 	}
 	largest := len(t.roster.members)
@@ -136,6 +145,13 @@
 	return same >= max(minConfirming, largest/2+1)
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // superseded reports whether no majority of any recent roster is left that
 // could confirm it: enough of its members have applied what this node has.
 func (t *Table) superseded(r *Round, now time.Time) bool {
--- a/claims/table.go
+++ b/claims/table.go
@@ -317,6 +317,7 @@
 		n.LowMS = since.UnixMilli()
 	} else if t.settings.Limit > 0 {
 		n.unsettled = true
+		t.quorum.tries = 0
 		t.quorum.unsettledUntil = since.Add(t.settings.Limit)
 	}
 	s.tenures = append(s.tenures, n)
@@ -333,9 +334,7 @@
 		return
 	}
 	t.quorum.logContact = snap.Contact
-	if snap.Contact.After(t.quorum.contact) {
-		t.quorum.contact = snap.Contact
-	}
+	t.quorum.contact = later(t.quorum.contact, snap.Contact)
 	t.extend(snap.Contact.Add(t.settings.Margin))
 }
 
