--- a/claims/takeover_test.go
+++ b/claims/takeover_test.go
@@ -1,6 +1,9 @@
 package claims
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // takeover is a failure domain of two members, of which the first ranks before
 // all others for one shard, and a third that has not joined yet and ranks
@@ -160,3 +163,39 @@
 		t.Fatal("the key was granted twice")
 	}
 }
+
+// TestBlindNode: a node that has started in mid-log neither confirms nor
+// settles, since it may not know all recent rosters.
+func TestBlindNode(t *testing.T) {
+	old := testSettings
+	defer func() { testSettings = old }()
+	testSettings.Limit = 10 * time.Second
+	s := newTakeover()
+	for range 7 { // more than a snapshot keeps when faulty is set
+		s.w.appendEvent(s.w.newNode("b").member, false)
+	}
+	s.w.faulty = true
+	s.w.appendEvent(s.third.member, false)
+	s.read(s.third)
+	table := s.third.table
+	high := table.highMS
+	for !s.third.clock().After(time.UnixMilli(high)) {
+		s.w.now += 500
+		r := table.NextRound(s.third.clock(), s.w.rng.Shuffle)
+		if r == nil {
+			continue
+		}
+		for _, m := range r.Ask {
+			r.Answer(m.ID, table.Offset())
+		}
+		table.Finish(r, s.third.clock())
+	}
+	if table.highMS != high {
+		t.Errorf("range extended by %d ms", table.highMS-high)
+	}
+	for i := range table.shards {
+		if open := table.shards[i].open(); open != nil && !open.unsettled {
+			t.Fatalf("tenure of shard %d settled", i)
+		}
+	}
+}
