--- a/node/front.go
+++ b/node/front.go
@@ -16,6 +16,7 @@
 	"github.com/gooseberryflow/gooseberryflow/claims"
 	"github.com/gooseberryflow/gooseberryflow/config"
 	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/retry"
 )
 
 // Comeback times told with answers that the front makes itself.
@@ -48,9 +49,10 @@
 		return n.entry.Serve(ctx, c)
 	}
 	defer context.AfterFunc(parent.ctx, stop)()
-	c.Allowance = parent.budget.Take()
+	lent := parent.budget.Take()
+	c.Allowance = lent
 	result := n.entry.Serve(ctx, c)
-	parent.budget.Return(result.UnusedAllowance)
+	parent.budget.Return(retry.Unused(lent, result))
 	return result
 }
 
