--- a/claims/takeover_test.go
+++ b/claims/takeover_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/kernel"
 )
 
 // takeover is a failure domain of two members, of which the first ranks before
@@ -199,3 +201,27 @@
 		}
 	}
 }
+
+// TestAskerWaits: a claim on a shard that is being handed over is repeated for
+// a bounded time.
+func TestAskerWaits(t *testing.T) {
+	w := newWorld(1, 2, false)
+	w.runUntil(w.now + 5000)
+	for _, ans := range []ClaimAnswer{{Verdict: VerdictMoving}, {Verdict: VerdictNotOwner, Peer: w.nodes[0].member}} {
+		k := w.freshKey(w.now)
+		for k.Home([]string{"a", "b"}) != "a" {
+			k = w.freshKey(w.now)
+		}
+		a, s := begin(w.nodes[0].snap, ClaimRequest{Key: k})
+		waits := 0
+		for s.ask && waits <= 2*maxWaits {
+			s = a.answered(ans)
+			if s.wait {
+				waits++
+			}
+		}
+		if waits != maxWaits || s.result == nil || s.result.Outcome != kernel.OutcomeNotRun {
+			t.Errorf("%+v: waited %d times, then %+v", ans, waits, s)
+		}
+	}
+}
