Claims: a tenure handed over before a member joined is not directly before its own

A member that had joined after a resignation, and learned of it late, took the tenure handed over then for the one directly before its own; another member had been next meanwhile.

Ruled out: the rule for members that came and went in between (here the one in between ranks after the new member).

Change: the offset of the handover is also compared with that of this node's own join. Where that refuses a link which was true, keys of the gap are answered unknown, as after a crash.

--- a/claims/table.go
+++ b/claims/table.go
@@ -249,7 +249,7 @@
 		Owner:    t.self.ID,
 
 		previousOpened: o.previousOpened,
-		overtakenAt:    o.previousOvertakenAt,
+		overtakenAt:    max(o.previousOvertakenAt, t.roster.joined[t.self.ID]),
 		openedAt:       t.offset,
 	}
 }
--- a/claims/takeover_test.go
+++ b/claims/takeover_test.go
@@ -48,9 +48,14 @@
 
 // require fails if some minting time lies within the ranges of both nodes.
 func (t *takeover) require(tt *testing.T, x, y *simNode) {
+	tt.Helper()
+	t.requireFrom(tt, startMS, x, y)
+}
+
+func (t *takeover) requireFrom(tt *testing.T, fromMS int64, x, y *simNode) {
 	tt.Helper()
 	both, either := 0, 0
-	for ms := int64(startMS); ms < t.w.now+20_000; ms++ {
+	for ms := fromMS; ms < t.w.now+20_000; ms++ {
 		inX := x.table.shards[t.shard].covers(ms)
 		inY := y.table.shards[t.shard].covers(ms)
 		if inX && inY {
@@ -225,3 +230,23 @@
 		}
 	}
 }
+
+// TestHandoverFromBeforeJoin: a member that joined after a handover does not
+// take the tenure handed over for the one directly before its own, since
+// another member was next at that time.
+func TestHandoverFromBeforeJoin(t *testing.T) {
+	s := newTakeover()
+	handed := s.handover()
+	s.second.table.Adopt(handed)
+	s.second.publish(0, 0, s.first.member)
+	s.w.now += 10_000
+	s.read(s.second)
+	s.w.appendEvent(s.third.member, false)
+	s.read(s.third)
+	s.third.publish(0, 0, s.first.member)
+	s.third.table.Adopt(handed)
+	s.w.now += 10_000
+	s.read(s.third)
+	// The range handed over itself is now held twice, which only this test does.
+	s.requireFrom(t, handed.Tenures[0].endMS(), s.second, s.third)
+}
--- a/claims/tenure.go
+++ b/claims/tenure.go
@@ -34,7 +34,8 @@
 	// previousOpened is the change since which the owner before had owned the
 	// shard, as far as this node has seen.
 	previousOpened Change
-	// overtakenAt is ownership.previousOvertakenAt.
+	// overtakenAt is ownership.previousOvertakenAt, or the offset at which
+	// this node joined if that is later: before, others were next.
 	overtakenAt uint64
 	// unsettled is set while an earlier owner may still confirm its roster;
 	// openedAt is the offset that this node had applied when it began.
