Claims: notices of a join hold across the first configuration

Cause: nodes that joined before the first configuration sent the ends of their ranges under an empty list of failure domains; receivers that already had version 1 refused them, which left gaps of some seconds whose keys can't be used. Ruled out: the order of adopted events; a pool or shard that is still closed (the answer was 'minted between two owners'). Seen to fail: TestNoticesCrossTheFirstConfiguration without the exception.

--- a/claims/notice.go
+++ b/claims/notice.go
@@ -58,7 +58,7 @@
 func (t *Table) Closed(n ClosedNotice) ([]Outgoing, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.resigned || n.Domains != t.domains || !n.Change.known() {
+	if t.resigned || !t.sameDomains(n.Domains) || !n.Change.known() {
 		return nil, false
 	}
 	next := make(notices)
--- a/claims/resign.go
+++ b/claims/resign.go
@@ -107,7 +107,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.merge(h.Entries)
-	if h.Domains != t.domains {
+	if !t.sameDomains(h.Domains) {
 		return
 	}
 	for _, in := range h.Tenures {
--- a/claims/table.go
+++ b/claims/table.go
@@ -137,6 +137,14 @@
 	return snap.Version > t.version+1 || domainsHash(snap) != t.domains
 }
 
+// sameDomains reports whether a message that was sent under a list of failure
+// domains, given by its hash, still holds here. Before the first configuration
+// there is no list and no key has been granted, so what was sent or is read
+// then goes with the list of version 1; later versions reset what they touch.
+func (t *Table) sameDomains(hash uint64) bool {
+	return hash == t.domains || t.version == 0 || (hash == 0 && t.version == 1)
+}
+
 // setDomains records the version and the list of failure domains in force.
 func (t *Table) setDomains(snap *state.Snapshot) {
 	t.version = snap.Version
