--- a/cmd/gooseberryctl/app.go
+++ b/cmd/gooseberryctl/app.go
@@ -87,6 +87,7 @@
 		a.reportCommand(),
 		a.devcertCommand(),
 		a.demoCommand(),
+		a.trialCommand(),
 		a.standinCommand(),
 		a.versionCommand(),
 	}
