--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -94,6 +94,11 @@
 	if r := send(d, request{method: http.MethodGet, path: "/logbook/tides/o1"}); !r.whole("o1") {
 		t.Errorf("open route without a key: %+v", r)
 	}
+	http2 := &http.Client{Transport: &http.Transport{Protocols: new(http.Protocols)}}
+	http2.Transport.(*http.Transport).Protocols.SetUnencryptedHTTP2(true)
+	if r := send(d, request{method: http.MethodGet, path: "/logbook/tides/o2", client: http2}); !r.whole("o2") {
+		t.Errorf("open route over HTTP/2: %+v", r)
+	}
 }
 
 // TestPlannedStopCutsNothing stops nodes with SIGTERM one after the other while
