--- a/experiment/load.go
+++ b/experiment/load.go
@@ -18,6 +18,7 @@
 
 	"github.com/gooseberryflow/gooseberryflow/config"
 	"github.com/gooseberryflow/gooseberryflow/internal/standin"
+	"github.com/gooseberryflow/gooseberryflow/internal/wait"
 )
 
 // Phase is a stretch of the run with constant conditions.
@@ -169,8 +170,7 @@
 	samples := make([]sample, len(list))
 	var wg sync.WaitGroup
 	for i, a := range list {
-		wait := time.Until(started.Add(a.at))
-		if !sleep(ctx, wait) {
+		if !wait.For(ctx, time.Until(started.Add(a.at))) {
 			samples = samples[:i]
 			break
 		}
@@ -180,20 +180,6 @@
 	return samples
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // send makes up to tries attempts for one request.
 func (c *callers) send(ctx context.Context, a arrival) sample {
 	route := c.fleet.Deployment.route(a.kind.Route)
@@ -212,7 +198,7 @@
 		}
 		s.count(v, central, withinRate)
 		pause := time.Duration(rand.Int64N(int64(2 * c.pause)))
-		if !sleep(ctx, pause) {
+		if !wait.For(ctx, pause) {
 			break
 		}
 	}
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/gooseberryflow/gooseberryflow/internal/wait"
 	"github.com/gooseberryflow/gooseberryflow/peer"
 )
 
@@ -129,7 +130,7 @@
 		if c.attemptAt(ctx, entry, a, route).whole {
 			return nil
 		}
-		if !sleep(ctx, warmUpPause) {
+		if !wait.For(ctx, warmUpPause) {
 			return fmt.Errorf("%s is not served for %s in time", kind.Route, customer)
 		}
 	}
@@ -139,7 +140,7 @@
 func (f *Fleet) play(ctx context.Context, phases []Phase, started time.Time, progress io.Writer, name string) {
 	at := time.Duration(0)
 	for _, p := range phases {
-		if !sleep(ctx, time.Until(started.Add(at))) {
+		if !wait.For(ctx, time.Until(started.Add(at))) {
 			return
 		}
 		for _, w := range f.Of(f.Deployment.Deep) {
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -14,6 +14,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/internal/wait"
 )
 
 // Headers that the stand-in passes along its call tree.
@@ -162,7 +164,7 @@
 
 // run spends the service time, makes the nested calls and answers.
 func (u *Upstream) run(w http.ResponseWriter, r *http.Request, work Work) {
-	if !wait(r.Context(), u.serviceTime(work.Time)) {
+	if !wait.For(r.Context(), u.serviceTime(work.Time)) {
 		return
 	}
 	children, ok := u.callChildren(r, work)
@@ -228,20 +230,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (u *Upstream) serviceTime(mean time.Duration) time.Duration {
 	u.mu.Lock()
 	spread := 1 - serviceTimeSpread + 2*serviceTimeSpread*u.rng.Float64()
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/google/uuid"
 
 	"github.com/gooseberryflow/gooseberryflow/config"
+	"github.com/gooseberryflow/gooseberryflow/internal/wait"
 	"github.com/gooseberryflow/gooseberryflow/kernel"
 	"github.com/gooseberryflow/gooseberryflow/membership"
 	"github.com/gooseberryflow/gooseberryflow/peer"
@@ -288,7 +289,7 @@
 	if err := n.membership.SetDraining(limit, n.self.ID, true); err != nil {
 		n.log.Warn("draining could not be announced", "error", err)
 	}
-	waitContext(limit, drainNotice)
+	wait.For(limit, drainNotice)
 	n.stopping.Store(true)
 	left := n.awaitIdle(limit)
 	err := n.callerHTTP.Shutdown(limit)
@@ -305,7 +306,7 @@
 // the limit.
 func (n *Node) awaitIdle(limit context.Context) int64 {
 	for n.inFlight.Load() > 0 && limit.Err() == nil {
-		waitContext(limit, drainPoll)
+		wait.For(limit, drainPoll)
 	}
 	return n.inFlight.Load()
 }
@@ -348,15 +349,6 @@
 	}
 }
 
-func waitContext(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // recoverPanics answers a request whose handling broke an invariant and lets
 // the node go on serving others.
 func (n *Node) recoverPanics(next http.Handler) http.Handler {
