Node: a peer's refusal is no lost instance; bounded request reads; no guessed content type

Cause: an error returned by the owner node's handler counted as the loss of its instance and made the request a suspect; a body over 16 MB was accepted by the settings but can't cross between nodes; a slow body could be read for ever. Seen to fail: TestLostCalls without the new case (lost true). Change: body_limit_bytes is at most 8 MiB; a whole request is read within 30 s.

--- a/node/forward.go
+++ b/node/forward.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/peer"
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
@@ -61,6 +62,8 @@
 		r = kernel.Refuse(kernel.ReasonNoUpstream, "the owner node can't be reached", comeBackNoOwner)
 	case ctx.Err() != nil:
 		r = endedEarly(ctx)
+	case errors.Is(err, peer.ErrRemote):
+		r = kernel.Unknown(kernel.ReasonInternal, "the owner node could not handle the call: "+err.Error())
 	default:
 		r = kernel.Unknown(kernel.ReasonUpstream, "the owner node went away while the call ran")
 		r.Lost = true
--- a/node/front.go
+++ b/node/front.go
@@ -196,6 +196,9 @@
 	for name, values := range r.Header {
 		h[name] = values
 	}
+	if _, set := h["Content-Type"]; !set {
+		h["Content-Type"] = nil // keeps net/http from guessing one
+	}
 	h.Set(headerOutcome, r.Outcome.String())
 	h.Set(headerRequestID, formatID(c.Root))
 	body := r.Body
--- a/node/node.go
+++ b/node/node.go
@@ -33,6 +33,7 @@
 	DefaultBodyLimitBytes = 1 << 20
 	DefaultStopTimeout    = 30 * time.Second
 	readHeaderTimeout     = 5 * time.Second
+	readTimeout           = 30 * time.Second // of a whole request
 	idleTimeout           = 2 * time.Minute
 	drainPoll             = 10 * time.Millisecond
 	// drainNotice is how long a stopping node still takes calls from nodes
@@ -211,6 +212,7 @@
 		Handler:           n.recoverPanics(h),
 		Protocols:         protocols,
 		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 	}
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -14,7 +14,9 @@
 
 	"github.com/gooseberryflow/gooseberryflow/config"
 	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/peer"
 	"github.com/gooseberryflow/gooseberryflow/retry"
+	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
 const testBodyLimit = 1 << 16
@@ -193,3 +195,28 @@
 }
 
 func newTestBudget() *retry.Budget { return retry.NewBudget(1) }
+
+// TestLostCalls makes sure that only a connection that broke counts as the loss
+// of an instance, and that only a call that never left counts as not run.
+func TestLostCalls(t *testing.T) {
+	cases := []struct {
+		err     error
+		outcome kernel.Outcome
+		lost    bool
+	}{
+		{kernel.ErrNotSent, kernel.OutcomeNotRun, false},
+		{peer.ErrConnLost, kernel.OutcomeUnknown, true},
+		{peer.ErrRemote, kernel.OutcomeUnknown, false},
+	}
+	for _, c := range cases {
+		r := lostCall(context.Background(), state.Member{ID: "owner"}, c.err)
+		if r.Outcome != c.outcome || r.Lost != c.lost || r.Owner != "owner" {
+			t.Errorf("%v: outcome %s, lost %t", c.err, r.Outcome, r.Lost)
+		}
+	}
+	ended, stop := context.WithCancel(context.Background())
+	stop()
+	if r := lostCall(ended, state.Member{}, context.Canceled); r.Outcome != kernel.OutcomeUnknown || r.Lost {
+		t.Errorf("cancelled call: %+v", r)
+	}
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -19,7 +19,7 @@
 	MaxStopTimeout     = 10 * time.Minute
 
 	DefaultBodyLimitBytes = 1 << 20
-	MaxBodyLimitBytes     = 64 << 20
+	MaxBodyLimitBytes     = 8 << 20 // half of what a frame between nodes may hold
 
 	// MinTokenLength is the least number of characters of an operator's token.
 	MinTokenLength = 16
