--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/google/uuid"
 
 	"github.com/gooseberryflow/gooseberryflow/config"
+	"github.com/gooseberryflow/gooseberryflow/internal/wait"
 	"github.com/gooseberryflow/gooseberryflow/kernel"
 	"github.com/gooseberryflow/gooseberryflow/membership"
 	"github.com/gooseberryflow/gooseberryflow/peer"
@@ -32,6 +33,7 @@
 	DefaultBodyLimitBytes = 1 << 20
 	DefaultStopTimeout    = 30 * time.Second
 	readHeaderTimeout     = 5 * time.Second
+	readTimeout           = 30 * time.Second // of a whole request
 	idleTimeout           = 2 * time.Minute
 	drainPoll             = 10 * time.Millisecond
 	// drainNotice is how long a stopping node still takes calls from nodes
@@ -210,6 +212,7 @@
 		Handler:           n.recoverPanics(h),
 		Protocols:         protocols,
 		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 	}
 }
@@ -288,7 +291,7 @@
 	if err := n.membership.SetDraining(limit, n.self.ID, true); err != nil {
 		n.log.Warn("draining could not be announced", "error", err)
 	}
-	waitContext(limit, drainNotice)
+	wait.For(limit, drainNotice)
 	n.stopping.Store(true)
 	left := n.awaitIdle(limit)
 	err := n.callerHTTP.Shutdown(limit)
@@ -305,7 +308,7 @@
 // the limit.
 func (n *Node) awaitIdle(limit context.Context) int64 {
 	for n.inFlight.Load() > 0 && limit.Err() == nil {
-		waitContext(limit, drainPoll)
+		wait.For(limit, drainPoll)
 	}
 	return n.inFlight.Load()
 }
@@ -348,15 +351,6 @@
 	}
 }
 
-func waitContext(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // recoverPanics answers a request whose handling broke an invariant and lets
 // the node go on serving others.
 func (n *Node) recoverPanics(next http.Handler) http.Handler {
