Integration: say rightly why the poison test waits for its nodes

A trial with six nodes showed otherwise: some shards refuse keys (409 key-expired, not-run) for about ten seconds after the first configuration comes into force; after one more member joined, no booking was refused. Only the comment changes.

--- a/integration/poison_test.go
+++ b/integration/poison_test.go
@@ -147,8 +147,8 @@
 }
 
 // settledStreak is how many requests in a row must be served by a node until
-// it counts as settled: after members have joined, keys of the shards that
-// moved are refused for a while.
+// it counts as settled: some shards refuse keys for a while after the first
+// configuration comes into force.
 const settledStreak = 30
 
 func awaitBystander(t *testing.T, d *daemon, method, key string) {
