--- a/claims/asker.go
+++ b/claims/asker.go
@@ -11,6 +11,13 @@
 // maxAsked bounds the members asked for one claim.
 const maxAsked = 4
 
+// maxWaits bounds the pauses of retryPause each for a shard that is being
+// handed over.
+const (
+	maxWaits   = 10
+	retryPause = 20 * time.Millisecond
+)
+
 // comeBack is the Retry-After of refusals that time resolves.
 const comeBack = time.Second
 
@@ -24,12 +31,15 @@
 	asked []state.Member
 	// holders lists the members that have granted the claim or may have.
 	holders []state.Member
+	waits   int
 }
 
 // step is what an asker does next: ask a member, or end with a result; a nil
 // result means that the claim was granted by the member asked last.
 type step struct {
-	ask    bool
+	ask bool
+	// wait is set if retryPause must pass before.
+	wait   bool
 	to     state.Member
 	result *kernel.Result
 }
@@ -94,22 +104,37 @@
 		return step{}
 	case VerdictNotOwner:
 		return a.redirect(ans.Peer)
+	case VerdictMoving:
+		return a.again()
 	case VerdictBefore:
 		return a.before(ans)
 	}
 	return step{result: a.result(ans.Verdict)}
 }
 
+// redirect asks the member named as owner; the heir of a resigned member
+// answers for its earlier tenures, too. If that member has been asked the same
+// before, the shard is on its way to the member asked last.
 func (a *asker) redirect(to state.Member) step {
-	// The heir of a resigned member answers for its earlier tenures, too, so a
-	// question about one of those may come back to a member already asked.
 	closing := a.req.Closing
-	if to.ID == "" || (a.hasAsked(to.ID) && !closing.known()) {
+	switch {
+	case to.ID == "":
 		return a.unreachable("is changing owners")
+	case a.hasAsked(to.ID) && !closing.known():
+		return a.again()
 	}
 	return a.ask(to, closing)
 }
 
+// again repeats the last question after a pause.
+func (a *asker) again() step {
+	if a.waits >= maxWaits {
+		return a.unreachable("is changing owners")
+	}
+	a.waits++
+	return step{ask: true, wait: true, to: a.asked[len(a.asked)-1]}
+}
+
 func (a *asker) before(ans ClaimAnswer) step {
 	if _, live := a.snap.Members[ans.Peer.ID]; !live {
 		return step{result: kernel.Unknown(kernel.ReasonKeyExpired, "the key was minted before its owner's tenure and the owner before is gone")}
@@ -147,8 +172,6 @@
 		return kernel.Refuse(kernel.ReasonKeyExpired, "the key was minted between two owners and can't be used; send a fresh key", 0)
 	case VerdictEarly:
 		return a.unreachable("can't confirm its roster").result
-	case VerdictMoving:
-		return a.unreachable("is changing owners").result
 	case VerdictFull:
 		return kernel.Refuse(kernel.ReasonOverload, "the key's owner remembers too many keys", comeBack)
 	case VerdictReleased:
--- a/claims/resign.go
+++ b/claims/resign.go
@@ -1,59 +1,64 @@
 package claims
 
 import (
-	"iter"
-
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
 // maxHandoverEntries bounds the keys in one handover message.
 const maxHandoverEntries = 500
 
-// OutgoingHandover is one shard to be handed over: the messages must be sent
-// in order, each after the one before has been acknowledged, all to one member.
-type OutgoingHandover struct {
-	To       state.Member
-	Messages []Handover
+// Heir is the next owner of a shard of a resigning member.
+type Heir struct {
+	Shard uint16
+	To    state.Member
 }
 
-// Resign lets go of one shard after the other, for good, and yields what its
-// next owner needs to go on in this node's place. The caller sends it before
-// it asks for the next shard; meanwhile claims on this shard are answered
-// VerdictMoving, so that nobody asks the heir too early.
-func (t *Table) Resign() iter.Seq[OutgoingHandover] {
-	return func(yield func(OutgoingHandover) bool) {
-		t.mu.Lock()
-		if t.resigned || t.roster == nil {
-			t.mu.Unlock()
-			return
-		}
-		t.resigned = true
-		t.mu.Unlock()
-		for i := range t.shards {
-			if !t.handOver(uint16(i), yield) {
-				return
-			}
+// Resign ends this node's part in all changes, for good, and returns the next
+// owners of the shards that it answers for. Its ranges no longer grow; what
+// lies within them is granted until Drain.
+func (t *Table) Resign() []Heir {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.resigned || t.roster == nil {
+		return nil
+	}
+	t.resigned = true
+	var heirs []Heir
+	for i := range t.shards {
+		to, ok := t.roster.heir(uint16(i), t.self.ID)
+		if ok && t.shards[i].used() {
+			heirs = append(heirs, Heir{Shard: uint16(i), To: to})
 		}
 	}
+	return heirs
 }
 
-func (t *Table) handOver(i uint16, yield func(OutgoingHandover) bool) bool {
-	heir, ok := t.roster.heir(i, t.self.ID)
-	tenures, entries := t.shards[i].drain(heir)
-	defer t.shards[i].setMoved()
-	if !ok || len(tenures)+len(entries) == 0 {
-		return true
-	}
-	return yield(OutgoingHandover{To: heir, Messages: t.messages(i, tenures, entries)})
+// Drain stops all granting in a shard and returns the messages that hand it
+// over. They must be sent in order, each after the one before has been
+// acknowledged, and to no other member. Claims are answered VerdictMoving until
+// Moved is called.
+func (t *Table) Drain(h Heir) []Handover {
+	tenures, entries := t.shards[h.Shard].drain(h.To)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.messages(h.Shard, tenures, entries)
 }
 
-func (s *shard) setMoved() {
+// Moved ends the handover of a shard; claims are now sent to the heir.
+func (t *Table) Moved(h Heir) {
+	s := &t.shards[h.Shard]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.moving = false
 	s.moved = true
 }
 
+func (s *shard) used() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.tenures)+len(s.entries) > 0
+}
+
 // drain empties a shard.
 func (s *shard) drain(heir state.Member) ([]Tenure, []Entry) {
 	s.mu.Lock()
@@ -78,7 +83,7 @@
 
 func (t *Table) messages(shard uint16, tenures []Tenure, entries []Entry) []Handover {
 	var out []Handover
-	h := Handover{From: t.self.ID, Domains: t.domains, Shard: shard}
+	h := Handover{From: t.self.ID, Domains: t.domains, Shard: shard, Offset: t.offset}
 	for len(entries) > maxHandoverEntries {
 		part := h
 		part.Entries = entries[:maxHandoverEntries]
@@ -102,7 +107,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.merge(h.Entries)
-	if h.Domains != t.domains {
+	if !t.sameDomains(h.Domains) {
 		return
 	}
 	for _, in := range h.Tenures {
@@ -123,15 +128,16 @@
 }
 
 func (t *Table) adoptOpen(s *shard, h Handover, in *Tenure) {
+	in.HandedAt = h.Offset
 	now := t.roster.owners[h.Shard]
 	open := s.open()
 	heir, _ := t.roster.heir(h.Shard, h.From)
-	same := now.owner == h.From && now.opened == in.since() && in.since().known()
+	same := now.owner == h.From && now.opened == in.since() && in.since().known() && now.overtakenAt <= h.Offset
 	if open == nil && same && heir.ID == t.self.ID {
 		return
 	}
 	end := Change{Member: h.From, Ended: true}
-	if open == nil || open.Opened != end || !open.follows(in.since()) {
+	if open == nil || open.Opened != end || !open.follows(in.since(), h.Offset) {
 		in.close(Change{}, state.Member{})
 		return
 	}
--- a/experiment/load.go
+++ b/experiment/load.go
@@ -18,6 +18,7 @@
 
 	"github.com/gooseberryflow/gooseberryflow/config"
 	"github.com/gooseberryflow/gooseberryflow/internal/standin"
+	"github.com/gooseberryflow/gooseberryflow/internal/wait"
 )
 
 // Phase is a stretch of the run with constant conditions.
@@ -169,8 +170,7 @@
 	samples := make([]sample, len(list))
 	var wg sync.WaitGroup
 	for i, a := range list {
-		wait := time.Until(started.Add(a.at))
-		if !sleep(ctx, wait) {
+		if !wait.For(ctx, time.Until(started.Add(a.at))) {
 			samples = samples[:i]
 			break
 		}
@@ -180,25 +180,11 @@
 	return samples
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // send makes up to tries attempts for one request.
 func (c *callers) send(ctx context.Context, a arrival) sample {
 	route := c.fleet.Deployment.route(a.kind.Route)
 	s := sample{arrival: a, priority: route.Priority}
-	a.key = uuid.Must(uuid.NewV7()).String()
+	a.key = newKey()
 	started := time.Now()
 	withinRate := true
 	for s.attempts < c.tries && time.Since(started) < c.patience {
@@ -212,7 +198,7 @@
 		}
 		s.count(v, central, withinRate)
 		pause := time.Duration(rand.Int64N(int64(2 * c.pause)))
-		if !sleep(ctx, pause) {
+		if !wait.For(ctx, pause) {
 			break
 		}
 	}
@@ -220,6 +206,9 @@
 	return s
 }
 
+// newKey returns a fresh idempotency key.
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
 func (s *sample) count(v verdict, central, withinRate bool) {
 	s.refusedWithinRate = v.notRun && withinRate
 	s.lastReason = cmp.Or(v.reason, "upstream-answer")
--- a/node/front.go
+++ b/node/front.go
@@ -16,6 +16,7 @@
 	"github.com/gooseberryflow/gooseberryflow/claims"
 	"github.com/gooseberryflow/gooseberryflow/config"
 	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/retry"
 )
 
 // Comeback times told with answers that the front makes itself.
@@ -48,9 +49,10 @@
 		return n.entry.Serve(ctx, c)
 	}
 	defer context.AfterFunc(parent.ctx, stop)()
-	c.Allowance = parent.budget.Take()
+	lent := parent.budget.Take()
+	c.Allowance = lent
 	result := n.entry.Serve(ctx, c)
-	parent.budget.Return(result.UnusedAllowance)
+	parent.budget.Return(retry.Unused(lent, result))
 	return result
 }
 
@@ -194,6 +196,9 @@
 	for name, values := range r.Header {
 		h[name] = values
 	}
+	if _, set := h["Content-Type"]; !set {
+		h["Content-Type"] = nil // keeps net/http from guessing one
+	}
 	h.Set(headerOutcome, r.Outcome.String())
 	h.Set(headerRequestID, formatID(c.Root))
 	body := r.Body
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -108,6 +108,29 @@
 	<-gate
 }
 
+// TestFirstRequestsShareOneConnection sends the first requests to a peer all
+// at once.
+func TestFirstRequestsShareOneConnection(t *testing.T) {
+	for _, carrier := range []Carrier{CarrierQUIC, CarrierQUICStream} {
+		a, b := listenPair(t, carrier)
+		b.Handle("echo", func(context.Context, state.MemberID, []byte) ([]byte, error) { return nil, nil })
+		ctx, stop := context.WithTimeout(context.Background(), testTimeout)
+		var wg sync.WaitGroup
+		for range 50 {
+			wg.Go(func() {
+				if _, err := a.Call(ctx, member(b), "echo", nil); err != nil {
+					t.Errorf("%s: %v", carrier, err)
+				}
+			})
+		}
+		wg.Wait()
+		stop()
+		if n := b.control.accepted.Load(); n != 1 {
+			t.Errorf("%s: %d connections were opened", carrier, n)
+		}
+	}
+}
+
 // TestLateAnswerIsDropped gives up on a request, whose answer then arrives
 // while another request waits on the same connection.
 func TestLateAnswerIsDropped(t *testing.T) {
@@ -188,17 +211,17 @@
 		t.Fatal(err)
 	}
 	for cut := range len(good) {
-		if _, err := readFrame(bytes.NewReader(good[:cut])); err == nil {
+		if _, _, err := readFrame(bytes.NewReader(good[:cut])); err == nil {
 			t.Errorf("a frame cut at %d was accepted", cut)
 		}
 	}
 	at := bytes.Index(good, []byte("whole"))
 	good[at] ^= 1
-	if _, err := readFrame(bytes.NewReader(good)); !errors.Is(err, ErrFrameDigest) {
+	if _, _, err := readFrame(bytes.NewReader(good)); !errors.Is(err, ErrFrameDigest) {
 		t.Errorf("a damaged body: %v", err)
 	}
 	huge := []byte{0xff, 0xff, 0xff, 0xff}
-	if _, err := readFrame(bytes.NewReader(huge)); !errors.Is(err, ErrFrameTooLarge) {
+	if _, _, err := readFrame(bytes.NewReader(huge)); !errors.Is(err, ErrFrameTooLarge) {
 		t.Errorf("a huge length: %v", err)
 	}
 }
@@ -209,7 +232,7 @@
 	f.Add([]byte{0, 0, 0, 1, 0xa0})
 	f.Add([]byte{0, 0, 0, 2, 0x9f, 0xff})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		got, err := readFrame(bytes.NewReader(data))
+		got, _, err := readFrame(bytes.NewReader(data))
 		if err != nil {
 			return
 		}
@@ -217,7 +240,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := readFrame(bytes.NewReader(again)); err != nil && err != io.EOF {
+		if _, _, err := readFrame(bytes.NewReader(again)); err != nil && err != io.EOF {
 			t.Fatalf("an accepted frame does not survive a round trip: %v", err)
 		}
 	})
