Rate limit: one reserve for critical requests instead of steps by priority

Ruled out: refunds of tokens for requests that were not run (an owner that has been told a lower level since, or a pool that was full since, would break the bound over a window). Change: all but critical requests leave the same reserve. High requests are no longer preferred over normal ones within a customer's own rate.

--- a/ratelimit/priority.go
+++ b/ratelimit/priority.go
@@ -19,16 +19,18 @@
 	// priorityStepPart the largest part of a bucket which that may be.
 	priorityStep     = 1.0
 	priorityStepPart = 1.0 / config.PriorityCount
+	// reserveSteps is the reserve for critical requests in steps.
+	reserveSteps = 2
 )
 
-// reserve is the number of tokens in a bucket that a priority leaves to the
-// more important ones; most of it is left to critical requests.
+// reserve is the number of tokens in a bucket that a request leaves to critical
+// ones. It is the same for all other priorities: graded by priority, the resends
+// of requests refused further on took the tokens of low ones that would have run.
 func reserve(priority config.Priority, burst float64) float64 {
-	step := min(priorityStep, max(0, burst-1)*priorityStepPart)
 	if priority == config.PriorityCritical {
 		return 0
 	}
-	return step * (1 + float64(priority)/2)
+	return reserveSteps * min(priorityStep, max(0, burst-1)*priorityStepPart)
 }
 
 // waiters counts the requests that wait, by priority.
