Settings: calls between nodes go over TLS by default

Cause: the added p99 must stay below 0.85 ms. The test of the default now expects TLS, since the default changed.

--- a/settings/node.go
+++ b/settings/node.go
@@ -140,7 +140,7 @@
 func readTransport(t *tomlfile.Table) Transport {
 	name := Transport(t.String("transport"))
 	if !t.Valid("transport") {
-		return TransportQUIC
+		return TransportTLS
 	}
 	if name != TransportQUIC && name != TransportTLS {
 		t.Reportf("transport", "must be %q or %q", TransportQUIC, TransportTLS)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Node.Transport != TransportQUIC || len(s.Node.Plugins) != len(DefaultPlugins) || s.Node.StopTimeout != DefaultStopTimeout {
+	if s.Node.Transport != TransportTLS || len(s.Node.Plugins) != len(DefaultPlugins) || s.Node.StopTimeout != DefaultStopTimeout {
 		t.Errorf("defaults not applied: %+v", s.Node)
 	}
 	if err := s.CheckPlugins(append([]string{"other"}, DefaultPlugins...)); err != nil {
