--- a/node/node_test.go
+++ b/node/node_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"expvar"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -220,3 +222,19 @@
 		t.Errorf("cancelled call: %+v", r)
 	}
 }
+
+// TestMetricsAreDocumented looks up every metric in the operators' page.
+func TestMetricsAreDocumented(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATING.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := newMetrics()
+	m.addTraffic("control", new(peer.Traffic))
+	m.addTraffic("call", new(peer.Traffic))
+	m.vars.Do(func(kv expvar.KeyValue) {
+		if !strings.Contains(string(page), "`"+kv.Key+"`") {
+			t.Errorf("%s is not in docs/OPERATING.md", kv.Key)
+		}
+	})
+}
