--- a/claims/plugin.go
+++ b/claims/plugin.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/gooseberryflow/gooseberryflow/internal/wait"
 	"github.com/gooseberryflow/gooseberryflow/kernel"
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
@@ -190,7 +191,7 @@
 	a, s := begin(p.host.Snapshot(), req)
 	for s.ask {
 		if s.wait {
-			pause(ctx, retryPause)
+			wait.For(ctx, retryPause)
 		}
 		ans, err := p.ask(ctx, s.to, a.req)
 		switch {
@@ -246,7 +247,7 @@
 	var err error
 	for try := range sendTries {
 		if try > 0 {
-			pause(ctx, sendPause)
+			wait.For(ctx, sendPause)
 		}
 		if err = p.sendOnce(ctx, to, kind, message); err == nil {
 			return nil
@@ -262,15 +263,6 @@
 	return err
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (p *Plugin) onClaim(_ context.Context, _ state.MemberID, req ClaimRequest) (ClaimAnswer, error) {
 	return p.table.Claim(req), nil
 }
--- a/cmd/gooseberryctl/submit.go
+++ b/cmd/gooseberryctl/submit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	api "github.com/gooseberryflow/gooseberryflow/admin/gen/admin"
+	"github.com/gooseberryflow/gooseberryflow/internal/wait"
 )
 
 // The time between two questions for a change's outcome doubles from
@@ -25,7 +26,7 @@
 	if err == nil && final(result, p.BaseVersion) {
 		return result, nil
 	}
-	for wait := minPause; pause(ctx, wait); wait = min(2*wait, maxPause) {
+	for delay := minPause; wait.For(ctx, delay); delay = min(2*delay, maxPause) {
 		result, err = a.resolve(ctx, f, p)
 		if err == nil && final(result, p.BaseVersion) {
 			return result, nil
@@ -82,14 +83,3 @@
 	}
 	return &exitError{exitUnknown, err}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -38,3 +38,25 @@
 		t.Errorf("%d duplicated runs", n)
 	}
 }
+
+func TestWorstOfFairShare(t *testing.T) {
+	cases := []struct {
+		good     [3]int
+		capacity float64
+		want     float64
+	}{
+		{[3]int{10, 45, 45}, 100, 1},  // the small one whole, the rest shared
+		{[3]int{5, 50, 45}, 100, 0.5}, // the small one gets half of its share
+		{[3]int{10, 9, 81}, 100, 0.2}, // one gets a fifth of its share
+	}
+	for _, c := range cases {
+		offered := map[string]*Goodput{
+			"small": {Offered: 10, Good: c.good[0]},
+			"one":   {Offered: 200, Good: c.good[1]},
+			"two":   {Offered: 300, Good: c.good[2]},
+		}
+		if got := worstOfFairShare(offered, c.capacity); got != c.want {
+			t.Errorf("%v of %v: %v, want %v", c.good, c.capacity, got, c.want)
+		}
+	}
+}
--- a/experiment/print.go
+++ b/experiment/print.go
@@ -23,6 +23,7 @@
 		}
 		line("  of the graph's capacity", percent(p.OfCapacity), percent(f.OfCapacity))
 		line("  worst-served customer", percent(p.WorstCustomer), percent(f.WorstCustomer))
+		line("  worst-served, of its fair share", percent(p.WorstOfFairShare), percent(f.WorstOfFairShare))
 	}
 	line("recovery, seconds", seconds(c.Naive.RecoverySeconds), seconds(c.Full.RecoverySeconds))
 	line("attempts per request", round(c.Naive.AttemptsPerRequest), round(c.Full.AttemptsPerRequest))
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -1,6 +1,8 @@
 package experiment
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -49,6 +51,9 @@
 	OfCapacity float64 `json:"of_capacity"`
 	// WorstCustomer is the lowest ratio of good to offered over customers.
 	WorstCustomer float64 `json:"worst_customer"`
+	// WorstOfFairShare is the lowest ratio of good to the smaller of offered
+	// and the customer's max-min fair share of the capacity.
+	WorstOfFairShare float64 `json:"worst_of_fair_share"`
 	// Failures counts requests without a whole answer by priority and by the
 	// reason of the last attempt.
 	Failures map[string]map[string]int `json:"failures,omitempty"`
@@ -129,9 +134,23 @@
 		r.WorstCustomer = min(r.WorstCustomer, g.Ratio())
 	}
 	r.Capacity = capacity(d, p, samples)
+	r.WorstOfFairShare = worstOfFairShare(byCustomer, r.Capacity)
 	return r
 }
 
+// worstOfFairShare splits the capacity max-min fairly: those who want least are
+// served first, and what they leave is split among the rest.
+func worstOfFairShare(customers map[string]*Goodput, capacity float64) float64 {
+	list := slices.SortedFunc(maps.Values(customers), func(a, b *Goodput) int { return a.Offered - b.Offered })
+	worst := 1.0
+	for i, g := range list {
+		share := min(float64(g.Offered), capacity/float64(len(list)-i))
+		capacity -= share
+		worst = min(worst, float64(g.Good)/max(share, 1))
+	}
+	return worst
+}
+
 func (r *PhaseReport) fail(priority, reason string) {
 	if r.Failures[priority] == nil {
 		r.Failures[priority] = make(map[string]int)
--- a/membership/service.go
+++ b/membership/service.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gooseberryflow/gooseberryflow/internal/wait"
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
@@ -84,24 +85,13 @@
 		defer wg.Done()
 		for {
 			step(ctx)
-			if !sleep(ctx, interval()) {
+			if !wait.For(ctx, interval()) {
 				return
 			}
 		}
 	}()
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (s *Service) gossipInterval() time.Duration { return s.o.jitter(s.o.Intervals.Gossip) }
 func (s *Service) upkeepInterval() time.Duration { return s.o.jitter(s.o.Intervals.Upkeep) }
 func (s *Service) probeInterval() time.Duration  { return s.o.jitter(s.o.Intervals.Probe / 2) }
