--- a/kernel/host.go
+++ b/kernel/host.go
@@ -9,7 +9,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/gooseberryflow/gooseberryflow/platform"
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
@@ -23,8 +22,6 @@
 	// Snapshot returns the current state; never nil.
 	Snapshot func() *state.Snapshot
 	Peers    Peers
-	// Platform is the log; reads and appends block and may fail for long.
-	Platform platform.Log
 	Log      *slog.Logger
 	// Forward carries a call to its owner node (or runs it in the local owner
 	// chain when the owner is this node) and returns the owner's result.
--- a/node/node.go
+++ b/node/node.go
@@ -180,7 +180,6 @@
 		Rand:     rand.Uint64,
 		Snapshot: n.membership.Snapshot,
 		Peers:    n.network,
-		Platform: platformLog,
 		Log:      n.log,
 		Forward:  n.forward,
 		Go:       n.background.Go,
