Directory: one node of a failure domain polls the configuration; needs told less often; refusals for the rate say what they rest on

Cause: every node had a poll of the configuration outstanding, so each version cost a call a node, and needs that flicker were written each 1.5 s. Change: a node is a reader while no peer ahead of it has heard of the store within 1 s; needs back off to 30 s. TestChangesCostCallsByTheFailureDomain fails with the poll on every node (seen).

--- a/admission/graph/plugin.go
+++ b/admission/graph/plugin.go
@@ -17,10 +17,15 @@
 
 const (
 	kindNotice = "graph.notice"
-	// Ticks between two notices of the level, and at least between two changes
-	// of the needs told.
+	// noticeTicks is the number of ticks between two notices of the level.
 	noticeTicks = 2
-	needsTicks  = 30
+	// needsTicks is the least number of ticks between two changes of the needs
+	// told, at first; it doubles with each change up to needsTicksMax, since
+	// every change is a write to the store that all failure domains read.
+	needsTicks    = 30
+	needsTicksMax = 600
+	// forgetTicks is the number of ticks between two looks for silent members.
+	forgetTicks = 30
 	// solveTicks counts the ticks of an interval of the needs.
 	solveTicks = 4
 	// comeBackPart of the time left, and at most comeBackMax, is told to
@@ -43,6 +48,9 @@
 	needs *Needs
 	table *table
 	ticks int
+	// needsDue is the tick from which on needs may be told again, needsWait the
+	// number of ticks between the next two times.
+	needsDue, needsWait int
 	// version is that of the configuration that top and services come from.
 	version  uint64
 	top      float64
@@ -60,6 +68,7 @@
 	p.gate = NewGate()
 	p.level = NewLevel(h.Now(), config.PriorityCount)
 	p.needs = NewNeeds(h.Now())
+	p.needsDue, p.needsWait = needsTicks, needsTicks
 	p.table = newTable()
 	p.services = map[string]string{}
 	p.levels = map[string]float64{}
@@ -99,13 +108,15 @@
 	if due {
 		p.table.take(n, now)
 	}
-	if p.ticks%needsTicks == 0 {
+	if p.ticks%forgetTicks == 0 {
 		p.table.forget(now)
 	}
 	clear(p.levels)
 	var needs state.Needs
-	if p.ticks%needsTicks == 0 && p.needs.Moved() {
+	if p.ticks >= p.needsDue && p.needs.Moved() {
 		needs = p.needs.Export()
+		p.needsWait = min(2*p.needsWait, needsTicksMax)
+		p.needsDue = p.ticks + p.needsWait
 	}
 	p.mu.Unlock()
 	if due {
--- a/directory/ask.go
+++ b/directory/ask.go
@@ -30,8 +30,10 @@
 type answer struct {
 	Version uint64 `cbor:"1,keyasint"`
 	// Document is empty unless Version is higher than the one asked from.
-	Document    []byte            `cbor:"2,keyasint,omitempty"`
-	AgeMS       int64             `cbor:"3,keyasint"`
+	Document []byte `cbor:"2,keyasint,omitempty"`
+	AgeMS    int64  `cbor:"3,keyasint"`
+	// SilenceMS is the time since the peer has heard of the store.
+	SilenceMS   int64             `cbor:"6,keyasint"`
 	Records     map[string]stored `cbor:"4,keyasint,omitempty"`
 	MembersNext uint64            `cbor:"5,keyasint"`
 }
@@ -44,7 +46,7 @@
 			continue
 		}
 		for _, m := range d.somePeers() {
-			if err := d.askOne(ctx, m); err != nil {
+			if _, err := d.askOne(ctx, m); err != nil {
 				d.options.Log.Debug("peer not asked", "peer", string(m.ID), "error", err)
 			}
 		}
@@ -68,7 +70,9 @@
 	return all[:min(askPeers, len(all))]
 }
 
-func (d *Directory) askOne(ctx context.Context, m state.Member) error {
+// askOne takes in what a peer knows. It returns how long ago the store was
+// heard of there, or maxAge if the peer vouches for nothing.
+func (d *Directory) askOne(ctx context.Context, m state.Member) (time.Duration, error) {
 	call, stop := context.WithTimeout(ctx, askTimeout)
 	defer stop()
 	q := question{Version: d.Snapshot().Version, Name: d.options.Name}
@@ -81,18 +85,23 @@
 	sent := boottime.Now()
 	a, err := kernel.Ask[question, answer](call, d.peers, m, kindState, q)
 	if err != nil {
-		return err
+		return maxAge, err
 	}
-	d.learn(a, sent)
-	return nil
+	if !d.learn(a, sent) {
+		return maxAge, nil
+	}
+	return boottime.Now().Sub(sent) + time.Duration(a.SilenceMS)*time.Millisecond, nil
 }
 
-func (d *Directory) learn(a answer, sent boottime.Instant) {
+// learn takes in an answer. It reports whether the peer vouches for the
+// configuration in force here.
+func (d *Directory) learn(a answer, sent boottime.Instant) bool {
 	if len(a.Document) > 0 {
 		d.take(a.Document, "peer")
 	}
-	if a.Version > 0 && d.Snapshot().Version >= a.Version {
-		d.vouch(sent.Add(-time.Duration(a.AgeMS) * time.Millisecond))
+	vouched := a.Version > 0 && d.Snapshot().Version >= a.Version
+	if vouched {
+		advance(&d.contact, sent.Add(-time.Duration(a.AgeMS)*time.Millisecond))
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -104,6 +113,7 @@
 	if changed {
 		d.publishMembers()
 	}
+	return vouched
 }
 
 // mergeRecord takes a record that a peer has passed on, unless what is known
@@ -139,7 +149,7 @@
 // onAsk answers a peer and takes in its own record.
 func (d *Directory) onAsk(_ context.Context, _ state.MemberID, q question) (answer, error) {
 	// The age is read first: it then never vouches for less than the version.
-	a := answer{AgeMS: d.Age().Milliseconds() + 1}
+	a := answer{AgeMS: d.Age().Milliseconds() + 1, SilenceMS: d.silence().Milliseconds() + 1}
 	a.Version = d.Snapshot().Version
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -17,9 +17,11 @@
 )
 
 const (
-	// pollWait is how long a poll of a topic waits for records.
-	pollWait    = 25 * time.Second
-	gatherDelay = 150 * time.Millisecond
+	// configWait and membersWait are how long a poll waits for records. The
+	// former bounds the age of what the leading node of a failure domain tells.
+	configWait  = 700 * time.Millisecond
+	membersWait = 25 * time.Second
+	gatherDelay = 400 * time.Millisecond
 	// writeDelay gathers changes of the own record.
 	writeDelay = 100 * time.Millisecond
 	// askAfter is the age of the own contact from which on peers are asked.
@@ -51,6 +53,9 @@
 	snapshot atomic.Pointer[state.Snapshot]
 	// contact is when the read was sent that vouched last for the configuration.
 	contact atomic.Int64
+	// heard is when the store's latest word on the configuration arrived, here
+	// or at the peer that passed it on.
+	heard atomic.Int64
 
 	// leading is set while this node reads the store for its failure domain;
 	// configNext is the end of the configuration's topic as known.
@@ -94,6 +99,7 @@
 // New returns a directory without knowledge.
 func New(o Options) *Directory {
 	d := &Directory{options: o, records: map[string]stored{}, avoid: map[string]time.Time{}, wake: make(chan struct{}, 1)}
+	d.leading.Store(true)
 	d.snapshot.Store((&state.Snapshot{Members: map[state.MemberID]state.Member{}}).Index())
 	return d
 }
@@ -109,12 +115,18 @@
 func (d *Directory) Snapshot() *state.Snapshot { return d.snapshot.Load() }
 
 // Age returns how long ago the configuration was vouched for.
-func (d *Directory) Age() time.Duration {
-	contact := d.contact.Load()
-	if contact == 0 {
+func (d *Directory) Age() time.Duration { return since(&d.contact) }
+
+// silence returns how long ago the store was heard of.
+func (d *Directory) silence() time.Duration { return since(&d.heard) }
+
+// since returns the time since an instant, or maxAge if there is none.
+func since(at *atomic.Int64) time.Duration {
+	instant := at.Load()
+	if instant == 0 {
 		return maxAge
 	}
-	return min(boottime.Now().Sub(boottime.Instant(contact)), maxAge)
+	return min(boottime.Now().Sub(boottime.Instant(instant)), maxAge)
 }
 
 // Run follows the store until ctx ends.
@@ -125,9 +137,9 @@
 		return func() { f.run(ctx) }
 	}
 	var running sync.WaitGroup
-	running.Go(follow(&follower{topic: topics.Config, wait: pollWait, apply: d.applyConfig}))
+	running.Go(follow(&follower{topic: topics.Config, wait: configWait, apply: d.applyConfig, resume: d.resumeConfig}))
 	running.Go(follow(&follower{
-		topic: topics.Members, wait: pollWait, gather: gatherDelay, apply: d.applyMembers, resume: d.resumeMembers,
+		topic: topics.Members, wait: membersWait, gather: gatherDelay, apply: d.applyMembers, resume: d.resumeMembers,
 	}))
 	running.Go(func() { d.pull(ctx) })
 	running.Go(func() { d.write(ctx) })
@@ -135,11 +147,11 @@
 	running.Wait()
 }
 
-// vouch records that the configuration was current at an instant.
-func (d *Directory) vouch(at boottime.Instant) {
+// advance moves an instant forward, never back.
+func advance(instant *atomic.Int64, to boottime.Instant) {
 	for {
-		old := d.contact.Load()
-		if int64(at) <= old || d.contact.CompareAndSwap(old, int64(at)) {
+		old := instant.Load()
+		if int64(to) <= old || instant.CompareAndSwap(old, int64(to)) {
 			return
 		}
 	}
@@ -158,10 +170,14 @@
 	// A document that can't be read may withdraw keys, so nothing vouches for
 	// the ones at hand.
 	if taken && d.Snapshot().Config != nil {
-		d.vouch(sent)
+		advance(&d.contact, sent)
+		advance(&d.heard, boottime.Now())
 	}
 }
 
+// resumeConfig lets the follower of the configuration run while this node leads.
+func (d *Directory) resumeConfig() (uint64, bool) { return d.configNext.Load(), d.leading.Load() }
+
 // take puts a document in force unless it is older than the one at hand. It
 // reports whether the configuration in force is at least as new as the document.
 func (d *Directory) take(document []byte, from string) bool {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -105,7 +105,7 @@
 	a, _ := newNode("a", "x", nodes)
 	b, _ := newNode("b", "x", nodes)
 	a.applyConfig(document("5 golf"), 1, boottime.Now().Add(-time.Second))
-	if err := b.askOne(t.Context(), state.Member{ID: "a#1", CallAddr: "a"}); err != nil {
+	if _, err := b.askOne(t.Context(), state.Member{ID: "a#1", CallAddr: "a"}); err != nil {
 		t.Fatal(err)
 	}
 	if b.Snapshot().Version != 5 {
--- a/directory/doc.go
+++ b/directory/doc.go
@@ -18,10 +18,11 @@
 // The configuration is as old as the read that vouched for it, counted from
 // the moment at which that read was sent, on a clock that counts suspension.
 // In each failure domain the nodes have an order. A node asks those before it,
-// at most pullPeers of them, and reads the store itself if none answers with a
-// young state, so in a calm domain one node reads for all. An answer
-// carries the peer's age, to which the exchange is added, and the records of
-// members that have changed. While the age is above askAfter a node asks nodes
+// at most pullPeers of them, and polls the store itself while none of them has
+// heard of it within pullSilence, so in a calm domain one node polls for all.
+// Age and silence differ: a poll that ends without records was sent configWait
+// before, but shows that the peer is still in touch. An answer carries both, to
+// which the exchange is added, and the records of members that have changed. While the age is above askAfter a node asks nodes
 // of all failure domains.
 //
 // # Members
@@ -32,7 +33,8 @@
 //
 // # Limits
 //
-// Every node has one poll of the configuration outstanding, the leading node of
-// a failure domain one of the members as well. The store is read about
-// 1/pullInterval times a second for each failure domain, whatever its size.
+// The leading node of a failure domain has one poll of the configuration and one
+// of the members outstanding, 1/configWait calls a second, whatever the size of
+// the domain. A change reaches the other nodes within pullInterval, and within
+// pullSilence + pullInterval when the leading node has just lost the store.
 package directory
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -16,7 +16,7 @@
 	retryMin    = 100 * time.Millisecond
 	retryMax    = time.Second
 	// pausePoll is how often a follower that pauses looks whether to go on.
-	pausePoll = 200 * time.Millisecond
+	pausePoll = 100 * time.Millisecond
 )
 
 // follower keeps up with one topic.
@@ -34,6 +34,7 @@
 
 	next   uint64
 	synced bool
+	paused bool // the next poll doesn't wait
 	lost   bool
 }
 
@@ -44,6 +45,7 @@
 		if f.synced && f.resume != nil {
 			next, ok := f.resume()
 			if !ok {
+				f.paused = true
 				wait.For(ctx, pausePoll)
 				continue
 			}
@@ -77,9 +79,13 @@
 		f.apply(page.Items, page.End, sent)
 		return nil
 	}
-	call, stop := context.WithTimeout(ctx, f.wait+callTimeout)
+	records := f.wait
+	if f.paused {
+		records = 0
+	}
+	call, stop := context.WithTimeout(ctx, records+callTimeout)
 	defer stop()
-	page, err := f.store.Tail(call, f.topic, f.next, f.wait)
+	page, err := f.store.Tail(call, f.topic, f.next, records)
 	if errors.Is(err, ErrCompacted) {
 		f.log.Info("history was dropped, reading newest records", "topic", f.topic, "from", f.next)
 		f.synced = false
@@ -88,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	f.next = page.End
+	f.next, f.paused = page.End, false
 	f.apply(page.Items, page.End, sent)
 	if len(page.Items) > 0 {
 		wait.For(ctx, f.gather)
--- a/directory/pull.go
+++ b/directory/pull.go
@@ -14,29 +14,27 @@
 )
 
 const (
-	// pullInterval is the time between two pulls. A chain of two pulls must stay
-	// well below the time in which a configuration has to be in force.
-	pullInterval = 700 * time.Millisecond
+	// pullInterval is the time between two pulls. With pullSilence it stays
+	// below the time in which a configuration has to be in force everywhere.
+	pullInterval = 500 * time.Millisecond
 	// pullPeers bounds the peers asked before the store is read.
 	pullPeers = 2
-	// pullAge is the age above which a peer's answer does not suffice.
-	pullAge = 1800 * time.Millisecond
+	// pullSilence is the time without word of the store above which a peer is
+	// passed over: a poll of the leading node, its answer and some delay.
+	pullSilence = time.Second
 	// avoidFor is how long a peer that didn't answer is passed over.
 	avoidFor = 3 * time.Second
-	readTime = 1200 * time.Millisecond
 )
 
 // pull bounds the age of the state: it asks the nodes that come first in the
-// failure domain, and reads the store if there are none or their answers are
-// too old. While all are reachable one node of a domain reads for the others.
+// failure domain, and has the store read if there are none or they haven't
+// heard of it. While all are reachable one node of a domain reads for the others.
 func (d *Directory) pull(ctx context.Context) {
 	for wait.For(ctx, pullInterval) {
-		if d.Snapshot().Config == nil {
-			continue
-		}
-		d.leading.Store(!d.pullPeers(ctx))
-		if d.leading.Load() {
-			d.readConfig(ctx)
+		leads := !d.pullPeers(ctx)
+		if d.leading.Swap(leads) != leads {
+			d.options.Log.Info("reader of the store for the failure domain changed", "self", leads,
+				"config_age_ms", d.Age().Milliseconds())
 		}
 	}
 }
@@ -44,13 +42,15 @@
 // pullPeers reports whether a peer has brought the state up to date.
 func (d *Directory) pullPeers(ctx context.Context) bool {
 	for _, m := range d.ahead() {
-		if err := d.askOne(ctx, m.member); err != nil {
+		silence, err := d.askOne(ctx, m.member)
+		if err != nil {
 			d.mu.Lock()
 			d.avoid[m.name] = time.Now().Add(avoidFor)
 			d.mu.Unlock()
 			continue
 		}
-		if d.Age() <= pullAge {
+		if silence <= pullSilence {
+			advance(&d.heard, boottime.Now().Add(-silence))
 			return true
 		}
 	}
@@ -84,17 +84,3 @@
 	slices.SortFunc(found, func(a, b candidate) int { return cmp.Compare(a.order, b.order) })
 	return found[:min(pullPeers, len(found))]
 }
-
-// readConfig reads the tail of the configuration's topic without waiting.
-func (d *Directory) readConfig(ctx context.Context) {
-	call, stop := context.WithTimeout(ctx, readTime)
-	defer stop()
-	sent := boottime.Now()
-	page, err := d.options.Store.Tail(call, d.options.Topics.Config, d.configNext.Load(), 0)
-	if err != nil {
-		// The follower of the topic logs the loss of the store.
-		d.options.Log.Debug("configuration not read", "error", err)
-		return
-	}
-	d.applyConfig(page.Items, page.End, sent)
-}
--- /dev/null
+++ b/directory/reader_test.go
@@ -0,0 +1,163 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+var errCut = errors.New("cut off from the store")
+
+// sharedStore is one store for all nodes of a test.
+type sharedStore struct {
+	mu     sync.Mutex
+	topics map[string][]Item
+	grown  chan struct{}
+}
+
+func newSharedStore() *sharedStore {
+	return &sharedStore{topics: map[string][]Item{}, grown: make(chan struct{})}
+}
+
+func (s *sharedStore) put(topic, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	items := s.topics[topic]
+	s.topics[topic] = append(items, Item{Key: key, Value: value, Offset: uint64(len(items))})
+	close(s.grown)
+	s.grown = make(chan struct{})
+}
+
+// access is one node's way to the store; it counts the node's reads.
+type access struct {
+	store *sharedStore
+	reads atomic.Int64
+	cut   atomic.Bool
+}
+
+func (a *access) Newest(_ context.Context, topic string) (Page, error) {
+	if a.cut.Load() {
+		return Page{}, errCut
+	}
+	a.store.mu.Lock()
+	defer a.store.mu.Unlock()
+	newest := map[string]Item{}
+	for _, i := range a.store.topics[topic] {
+		newest[i.Key] = i
+	}
+	page := Page{End: uint64(len(a.store.topics[topic]))}
+	for _, i := range newest {
+		page.Items = append(page.Items, i)
+	}
+	return page, nil
+}
+
+func (a *access) Tail(ctx context.Context, topic string, from uint64, wait time.Duration) (Page, error) {
+	a.reads.Add(1)
+	until := time.After(wait)
+	for {
+		a.store.mu.Lock()
+		items, grown := a.store.topics[topic], a.store.grown
+		a.store.mu.Unlock()
+		switch {
+		case a.cut.Load():
+			return Page{}, errCut
+		case from < uint64(len(items)):
+			return Page{Items: items[from:], End: uint64(len(items))}, nil
+		}
+		select {
+		case <-grown:
+		case <-until:
+			return Page{End: from}, nil
+		case <-ctx.Done():
+			return Page{}, ctx.Err()
+		}
+	}
+}
+
+func (a *access) Put(_ context.Context, topic, key string, value []byte) error {
+	if a.cut.Load() {
+		return errCut
+	}
+	a.store.put(topic, key, value)
+	return nil
+}
+
+// A configuration that changes often costs calls to the store by the failure
+// domain, not by the node; a node that loses the store keeps none from a change.
+func TestChangesCostCallsByTheFailureDomain(t *testing.T) {
+	const count = 8
+	store, nodes := newSharedStore(), map[string]*fakePeers{}
+	all := make([]*Directory, count)
+	ways := make([]*access, count)
+	var running sync.WaitGroup
+	ctx, stop := context.WithCancel(t.Context())
+	defer running.Wait()
+	defer stop()
+	for i := range all {
+		all[i], _ = newNode(fmt.Sprint("n", i), "x", nodes)
+		ways[i] = &access{store: store}
+		all[i].options.Store = ways[i]
+	}
+	for _, d := range all {
+		running.Go(func() { d.Run(ctx) })
+	}
+	version := 0
+	change := func() {
+		version++
+		store.put("config", "it", fmt.Appendf(nil, "%d golf", version))
+	}
+	inForce := func(d *Directory) bool { return d.Snapshot().Version == uint64(version) }
+	change()
+	leader := -1
+	eventually(t, "one node reads for all", func() bool {
+		leading := 0
+		for i, d := range all {
+			if !inForce(d) {
+				return false
+			}
+			if d.leading.Load() {
+				leading++
+				leader = i
+			}
+		}
+		return leading == 1
+	})
+	var before [count]int64
+	for i, way := range ways {
+		before[i] = way.reads.Load()
+	}
+	for range 5 {
+		change()
+		for _, d := range all {
+			eventually(t, "the change is in force", func() bool { return inForce(d) })
+		}
+	}
+	for i, way := range ways {
+		// A node may have had polls on their way when another began to lead.
+		if got := way.reads.Load() - before[i]; i != leader && got > 2 {
+			t.Errorf("%s made %d reads for 5 changes while %s read for all", all[i].options.Name, got, all[leader].options.Name)
+		}
+	}
+	ways[leader].cut.Store(true)
+	change()
+	for i, d := range all {
+		if i != leader {
+			eventually(t, "a change comes without the node that read for all", func() bool { return inForce(d) })
+		}
+	}
+	eventually(t, "the node that is cut off learns it from its peers", func() bool { return inForce(all[leader]) })
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(40 * time.Second); !f(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatal("not in time: " + what)
+		}
+	}
+}
--- a/ratelimit/quota/plugin.go
+++ b/ratelimit/quota/plugin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -195,7 +196,7 @@
 			return next.Serve(ctx, c)
 		}
 		if !p.take(ctx, customer, s) {
-			return kernel.Refuse(kernel.ReasonRate, "the customer's rate is used up", p.comeBack())
+			return kernel.Refuse(kernel.ReasonRate, p.explain(customer, s), p.comeBack())
 		}
 		r := next.Serve(ctx, c)
 		if r.Outcome == kernel.OutcomeNotRun && !r.Offered {
@@ -205,6 +206,24 @@
 	})
 }
 
+// explain tells what a refusal for the rate rests on.
+func (p *Plugin) explain(c config.Customer, s *state.Snapshot) string {
+	now := p.host.Now()
+	p.mu.Lock()
+	h := p.holding(c)
+	why, demand := "the pool is empty", h.demand
+	switch {
+	case h.orphaned:
+		why = "the pool's owner can't be reached since " + now.Sub(h.orphanedAt).Truncate(time.Millisecond).String()
+	case h.asking != nil:
+		why = "no lease in time"
+	}
+	p.mu.Unlock()
+	owner := s.Pools[partitionOf(c.Name, p.tenure.count)]
+	return fmt.Sprintf("rate %g/s, burst %g: %s; owner %s, term %d, demand here %.1f/s",
+		c.Rate, c.Burst, why, owner.Member.ID, owner.Term, demand)
+}
+
 func (p *Plugin) comeBack() time.Duration {
 	return comeBackMin + time.Duration(p.host.Rand()%uint64(comeBackMax-comeBackMin))
 }
