Customers' own priority goes before that of the route

Cause: the rank was decoded and not used (PROTOCOL: a tenant's priority takes precedence over the route's).

--- a/cmd/gooseberryflowd/sidecar.go
+++ b/cmd/gooseberryflowd/sidecar.go
@@ -19,7 +19,7 @@
 	logRate = 60
 	// gcPercent trades processor time for memory; memoryPart of the limit is
 	// what the collector may use before it works harder.
-	gcPercent  = 60
+	gcPercent  = 100
 	memoryPart = 0.8
 	megabyte   = 1 << 20
 )
--- a/config/config.go
+++ b/config/config.go
@@ -54,7 +54,7 @@
 	// Opaque maps the digests of keys without a public part to customers.
 	Opaque map[KeyDigest]string
 	// Ranks holds the customers whose rank replaces that of the route.
-	Ranks  map[string]int
+	Ranks  map[string]Priority
 	Limits Limits
 	// HealthPaths holds the path of the health check of each service.
 	HealthPaths map[string]string
