--- a/admission/graph/plugin.go
+++ b/admission/graph/plugin.go
@@ -28,9 +28,11 @@
 	forgetTicks = 30
 	// solveTicks counts the ticks of an interval of the needs.
 	solveTicks = 4
-	// comeBackPart of the time left, and at most comeBackMax, is told to
-	// refused callers; the lower half is spread by chance.
+	// Refused callers are told to come back after comeBackPart of the time left,
+	// at most comeBackMax, and within comeBackAim of the latency objective, so
+	// that a second try can still meet it. The upper half is spread by chance.
 	comeBackPart = 0.3
+	comeBackAim  = 0.5
 	comeBackMax  = 2 * time.Second
 )
 
@@ -253,6 +255,9 @@
 func (p *Plugin) comeBack(c *kernel.Call) time.Duration {
 	left := c.Deadline().Sub(p.host.Now())
 	most := min(time.Duration(comeBackPart*float64(left)), comeBackMax)
+	if aim := time.Duration(comeBackAim * float64(c.LatencyMS) * float64(time.Millisecond)); aim > 0 {
+		most = min(most, aim)
+	}
 	if most <= 0 {
 		return 0
 	}
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -30,6 +30,9 @@
 	MetricsAddress   netip.AddrPort
 	CallAddress      netip.AddrPort
 	UpstreamAddress  netip.AddrPort
+	// AdvertisedAddress is where other nodes reach CallAddress; the same unless
+	// set.
+	AdvertisedAddress netip.AddrPort
 	// MemoryMB is the memory that the process may use.
 	MemoryMB    int64
 	LogLevel    slog.Level
@@ -74,6 +77,10 @@
 		Plugins:          slices.Clone(SidecarPlugins),
 		StoreAddress:     readAddress(store, "address"),
 	}
+	s.AdvertisedAddress = s.CallAddress
+	if t.Has("advertised_address") {
+		s.AdvertisedAddress = readAddress(t, "advertised_address")
+	}
 	if t.Has("plugins") {
 		s.Plugins = readPlugins(t)
 	}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -39,8 +39,10 @@
 	Domain  string
 	// CallAddr is where other nodes connect (TCP).
 	CallAddr string
-	Plugins  []string
-	Topics   directory.Topics
+	// AdvertisedAddr is the address under which they reach it.
+	AdvertisedAddr string
+	Plugins        []string
+	Topics         directory.Topics
 	// MaxKeyAge is the age of the configuration above which keys are refused.
 	MaxKeyAge   time.Duration
 	StopTimeout time.Duration
@@ -85,7 +87,7 @@
 		ID:          state.MemberID(s.Name + "#" + strconv.FormatInt(started, 36)),
 		Service:     s.Service,
 		Domain:      s.Domain,
-		CallAddr:    s.CallAddr,
+		CallAddr:    s.AdvertisedAddr,
 		AnnouncedMS: started,
 	}
 	network, err := peer.Listen(peer.Options{CallAddr: s.CallAddr, Carrier: peer.CarrierTCP})
