Quota: pools joined under the name of the place; nodes without an owner go on by what they were granted

Cause: a process that was killed joined the group under a new name, so its partitions stayed with the dead one for the term (2.5 s); an even share of a small customer's rate is no request a second on most nodes. Messages are counted by kind. Soak begun (not yet run).

--- a/peer/network.go
+++ b/peer/network.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
+	"expvar"
 	"fmt"
 	"io"
 	"net"
@@ -89,6 +90,8 @@
 	// ControlTraffic is what QUIC carries, CallTraffic what TLS over TCP does.
 	ControlTraffic Traffic
 	CallTraffic    Traffic
+	// Sent counts the messages sent by kind, without answers.
+	Sent expvar.Map
 }
 
 type linkKey struct {
@@ -174,6 +177,7 @@
 	if carrier != CarrierTLS && carrier != CarrierTCP {
 		carrier, address = CarrierQUIC, to.ControlAddr
 	}
+	n.Sent.Add(kind, 1)
 	l := n.link(carrier, address)
 	go func() {
 		if c, _, err := l.state(); c != nil && err == nil {
@@ -183,6 +187,7 @@
 }
 
 func (n *Network) send(ctx context.Context, carrier Carrier, address, kind string, body []byte) ([]byte, error) {
+	n.Sent.Add(kind, 1)
 	if carrier == CarrierQUICStream {
 		return n.sendOnStream(ctx, address, kind, body)
 	}
--- a/ratelimit/quota/bucket.go
+++ b/ratelimit/quota/bucket.go
@@ -3,10 +3,11 @@
 import (
 	"math"
 	"time"
-
-	"github.com/gooseberryflow/gooseberryflow/config"
 )
 
+// randomSteps is the resolution of draws from a random number.
+const randomSteps = 1 << 16
+
 // bucket is a token bucket. It is not safe for concurrent use.
 type bucket struct {
 	tokens   float64
@@ -49,6 +50,10 @@
 	// since the last tick.
 	demand  float64
 	arrived float64
+	// granted is the moving mean of requests that got a token per second; spent
+	// counts them since the last tick.
+	granted float64
+	spent   float64
 	waiting float64 // requests that wait for a lease
 	// dryUntil is when a pool that had too few tokens may be asked again.
 	dryUntil time.Time
@@ -58,6 +63,14 @@
 
 // spend takes one token, leased ones first.
 func (h *holding) spend(now time.Time) bool {
+	ok := h.spendLeased(now) || h.orphaned && h.own.take(1) == 1
+	if ok {
+		h.spent++
+	}
+	return ok
+}
+
+func (h *holding) spendLeased(now time.Time) bool {
 	h.expire(now)
 	for i := range h.leases {
 		if h.leases[i].tokens >= 1 {
@@ -69,26 +82,39 @@
 			h.leases[i].tokens = 0
 		}
 	}
-	return h.orphaned && h.own.take(1) == 1
+	return false
 }
 
-// orphan begins or ends the time without an owner. The own part of the rate
-// begins with that of the burst that the pool leaves out.
-func (h *holding) orphan(now time.Time, orphaned bool, c config.Customer, nodes int) {
+// orphan begins or ends the time without an owner. A part of a token at its
+// beginning is a whole one by chance, and the part that has been saved of the
+// next one is drawn, since most nodes have less than one in all that time.
+func (h *holding) orphan(now time.Time, orphaned bool, rate float64, nodes int, random uint64) {
 	if orphaned && !h.orphaned {
-		h.own = bucket{refilled: now, tokens: orphanBurst * c.Burst / float64(nodes)}
+		start := h.ownRate(rate, nodes)*orphanStart.Seconds() + orphanFirst/float64(nodes)
+		whole := math.Floor(start)
+		if float64(random%randomSteps)/randomSteps < start-whole {
+			whole++
+		}
+		saved := float64(random/randomSteps%randomSteps) / randomSteps
+		h.own = bucket{refilled: now, tokens: whole + saved}
 		h.orphanedAt = now
 	}
 	h.orphaned = orphaned
 }
 
+// ownRate is what the node may grant by itself, in requests per second.
+func (h *holding) ownRate(rate float64, nodes int) float64 {
+	part := min(orphanPart+orphanSlack/rate, orphanMost)
+	return max(part*h.granted, orphanShare*rate/float64(nodes))
+}
+
 // refillOwn adds to the own part while there is no owner.
-func (h *holding) refillOwn(now time.Time, c config.Customer, nodes int) {
+func (h *holding) refillOwn(now time.Time, rate float64, nodes int) {
 	if !h.orphaned {
 		return
 	}
-	part := orphanPart * c.Rate / float64(nodes)
-	h.own.refill(now, part, max(part*orphanDepth.Seconds(), orphanBurst*c.Burst/float64(nodes), 1))
+	own := h.ownRate(rate, nodes)
+	h.own.refill(now, own, max(own*orphanDepth.Seconds(), 1))
 }
 
 // refund gives back the token of a request that has not run.
@@ -129,9 +155,11 @@
 	return target - have
 }
 
-// tick moves the demand.
+// tick moves the demand, and the rate granted unless the node grants it itself.
 func (h *holding) tick(elapsed time.Duration) {
-	rate := h.arrived / elapsed.Seconds()
-	h.arrived = 0
-	h.demand += demandGain * (rate - h.demand)
+	h.demand += demandGain * (h.arrived/elapsed.Seconds() - h.demand)
+	if !h.orphaned {
+		h.granted += grantedGain * (h.spent/elapsed.Seconds() - h.granted)
+	}
+	h.arrived, h.spent = 0, 0
 }
--- a/ratelimit/quota/doc.go
+++ b/ratelimit/quota/doc.go
@@ -10,9 +10,11 @@
 // tokens expire after leaseTerm. A node with little demand for a customer holds
 // none and asks for each request, which waits for up to askWait.
 //
-// A node that can't reach the owner has a part of the rate for itself: an even
-// share of orphanPart, beginning with its share of orphanBurst. A node that stops
-// as planned gives its pools back at the beginning of the stop.
+// A node that can't reach the owner goes on with a part of the rate that it
+// has been granted of late, since an even share of a small customer's rate is
+// less than a request a second on most nodes. A node that stops as planned gives
+// its pools back at the beginning of the stop; one that was killed joins under
+// the name of its place and has them back at once.
 //
 // # Bound
 //
@@ -26,7 +28,7 @@
 //
 // # Limits
 //
-// When an owner dies its customers have orphanPart of their rate until the term
+// When an owner dies its customers have a part of what they used until the term
 // has ended and the new owner is known. Tokens of requests that no instance has
 // seen go back to what the node holds.
 package quota
--- a/ratelimit/quota/plugin.go
+++ b/ratelimit/quota/plugin.go
@@ -24,13 +24,22 @@
 const (
 	// depthPart of the burst is the depth of the pool.
 	depthPart = 0.5
-	// orphanPart of the rate is split evenly over the nodes that can't reach
-	// the owner.
-	orphanPart = 0.5
-	// orphanBurst is the part of the burst that these nodes begin with, all
-	// together, and orphanDepth the time for which they save their part.
-	orphanBurst = 0.25
-	orphanDepth = 100 * time.Millisecond
+	// Nodes that can't reach the owner go on with orphanPart of the rate that
+	// they have been granted of late and, all together, with orphanSlack requests
+	// per second more, at most orphanMost of what they were granted; or with an
+	// even share of orphanShare of the customer's rate if that is more. The
+	// bounds allow a tenth and 20 requests in 5 s beyond the rate.
+	orphanPart  = 0.25
+	orphanSlack = 2.5
+	orphanMost  = 0.6
+	orphanShare = 0.15
+	// They begin with the tokens of orphanStart and with orphanFirst more, all
+	// together, and save tokens for orphanDepth.
+	orphanStart = 200 * time.Millisecond
+	orphanFirst = 8.0
+	orphanDepth = 300 * time.Millisecond
+	// grantedGain is the weight of the latest tick in the rate granted of late.
+	grantedGain = 0.01
 	// holdTime is how much of its demand a node holds, at least minHold tokens,
 	// and leaseTerm how long a lease lasts.
 	holdTime  = 300 * time.Millisecond
@@ -117,7 +126,7 @@
 	if held == 0 {
 		return
 	}
-	if err := p.host.Pools.Groups.Leave(ctx, string(p.host.Self.ID)); err != nil {
+	if err := p.host.Pools.Groups.Leave(ctx, p.host.Self.ID.Place()); err != nil {
 		p.host.Log.Warn("pools not given back", "error", err)
 	}
 }
@@ -151,10 +160,10 @@
 	if missing {
 		return true
 	}
-	self := xxhash.Sum64String(string(p.host.Self.ID))
+	self := xxhash.Sum64String(p.host.Self.ID.Place())
 	before := 0
 	for id := range s.Members {
-		if xxhash.Sum64String(string(id)) < self {
+		if xxhash.Sum64String(id.Place()) < self {
 			before++
 		}
 	}
@@ -182,7 +191,7 @@
 			delete(p.holdings, name)
 			continue
 		}
-		h.refillOwn(now, c, max(s.Nodes, 1))
+		h.refillOwn(now, c.Rate, max(s.Nodes, 1))
 		p.askAhead(h, c, s, now, 0)
 	}
 }
@@ -309,7 +318,7 @@
 	if err != nil || got < 1 {
 		h.dryUntil = now.Add(dryPause)
 	}
-	h.orphan(now, err != nil, c, max(s.Nodes, 1))
+	h.orphan(now, err != nil, c.Rate, max(s.Nodes, 1), p.host.Rand())
 	close(h.asking)
 	h.asking = nil
 }
@@ -370,7 +379,7 @@
 	ctx, stop := context.WithTimeout(context.Background(), joinTimeout)
 	defer stop()
 	sent := boottime.Now()
-	partitions, next, err := p.host.Pools.Groups.Join(ctx, string(p.host.Self.ID), p.host.Pools.Term, generation)
+	partitions, next, err := p.host.Pools.Groups.Join(ctx, p.host.Self.ID.Place(), p.host.Pools.Term, generation)
 	p.mu.Lock()
 	p.joining = false
 	changed := false
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -55,6 +55,7 @@
 	gauge("in_flight", func() any { return n.inFlight.Load() })
 	gauge("node_bytes_sent_total", func() any { return n.network.CallTraffic.BytesSent.Load() })
 	gauge("node_bytes_received_total", func() any { return n.network.CallTraffic.BytesReceived.Load() })
+	m.vars.Set("node_messages_sent_total", &n.network.Sent)
 	gauge("latency_ms", func() any { return m.quantiles() })
 }
 
--- /dev/null
+++ b/soak/fleet_test.go
@@ -0,0 +1,413 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/internal/faultproxy"
+	"github.com/gooseberryflow/gooseberryflow/platform/standin"
+)
+
+const (
+	startLimit = 20 * time.Second
+	startTries = 5
+	pollEvery  = 20 * time.Millisecond
+	beatEvery  = 300 * time.Millisecond
+	stopLimit  = 6 * time.Second
+	partitions = 8
+	servesLine = `"msg":"node serves"`
+	// slots and work make an instance of either service.
+	slots = 24
+	work  = 4 * time.Millisecond
+)
+
+var daemonPath string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "gooseberryflow-soak")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	daemonPath = filepath.Join(dir, "gooseberryflowd")
+	code := 1
+	if out, err := exec.Command("go", "build", "-o", daemonPath, "../cmd/gooseberryflowd").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build the daemon: %v\n%s", err, out)
+	} else {
+		code = m.Run()
+	}
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// options change what the daemons do, to see checks fail.
+type options struct {
+	plugins       string // the list of plug-ins, as in the settings; empty for all
+	keyWithdrawal string
+	retryRatio    float64
+	retrySlack    float64
+	rate          int
+	killToStop    bool // a planned stop is a kill
+}
+
+func defaultOptions() options {
+	return options{keyWithdrawal: "5s", retryRatio: retryRatio, retrySlack: retrySlack, rate: 60}
+}
+
+// fleet is the daemons with all around them.
+type fleet struct {
+	t       *testing.T
+	options options
+	rng     *rand.Rand
+	ledger  *ledger
+	store   *standin.Store
+	server  *httptest.Server
+	nodes   []*node
+
+	version atomic.Int64
+	keyNo   int
+	keys    map[string]string // key -> customer, in the newest configuration
+}
+
+// place is where a node stands.
+type place struct{ domain, service string }
+
+var places = []place{
+	{"a", "maps"}, {"a", "status"}, {"b", "maps"}, {"b", "status"}, {"c", "maps"}, {"c", "status"},
+}
+
+// node is one daemon, its instance and its proxies.
+type node struct {
+	place
+	f        *fleet
+	index    int
+	name     string
+	instance *standin.Instance
+	toStore  *faultproxy.Proxy
+	toNode   *faultproxy.Proxy
+	callers  string
+	health   string
+	control  string
+	metrics  string
+	calls    string
+	settings string
+
+	// faulty is the probability in thousands of a fault at the instance.
+	faulty   [standin.FaultExtra + 1]atomic.Int64
+	faultMu  sync.Mutex
+	faultRNG *rand.Rand
+
+	mu      sync.Mutex
+	output  bytes.Buffer
+	command *exec.Cmd
+	exited  chan struct{}
+	boot    int
+	born    time.Time
+	seq     int
+}
+
+func newFleet(t *testing.T, seed uint64, o options) *fleet {
+	services := make([]string, len(places))
+	for i, p := range places {
+		services[i] = p.service
+	}
+	f := &fleet{
+		t: t, options: o, rng: rand.New(rand.NewPCG(seed, 0)), ledger: newLedger(services),
+		store: standin.NewStore(partitions), keys: map[string]string{},
+	}
+	f.ledger.rate, f.ledger.burst = float64(o.rate), float64(o.rate)
+	f.server = httptest.NewServer(f.store)
+	t.Cleanup(f.close)
+	f.addKey("farm")
+	f.addKey("club")
+	f.configure()
+	for i, p := range places {
+		f.nodes = append(f.nodes, f.newNode(i, p, seed))
+	}
+	return f
+}
+
+func (f *fleet) close() {
+	for _, n := range f.nodes {
+		n.kill()
+		n.instance.Stop()
+		n.toStore.Close()
+		n.toNode.Close()
+	}
+	f.server.CloseClientConnections()
+	f.server.Close()
+}
+
+func (f *fleet) newNode(index int, p place, seed uint64) *node {
+	n := &node{
+		place: p, f: f, index: index, name: fmt.Sprintf("%s-%s", p.service, p.domain), born: time.Now(),
+		faultRNG: rand.New(rand.NewPCG(seed, uint64(index)+1)),
+	}
+	n.instance = &standin.Instance{
+		ID: "i-" + n.name, Service: p.service, Slots: slots, Work: work, Faults: n.drawFault,
+		OnArrival: f.ledger.arrive,
+		OnRun: func(r standin.Run) {
+			f.ledger.ran(run{
+				ID: r.ID, At: r.At, Node: index, Service: r.Service, Customer: r.Header.Get("X-Tenant"),
+				Origin: r.Header.Get("X-Caller-Service"), Key: r.Header.Get("Authorization"),
+			})
+		},
+	}
+	if p.service == "maps" {
+		n.instance.Calls = []string{"in.example/status/1", "in.example/status/2"}
+	}
+	if _, err := n.instance.Start("127.0.0.1:0"); err != nil {
+		f.t.Fatal(err)
+	}
+	var err error
+	if n.toStore, err = faultproxy.ListenTCP(f.server.Listener.Addr().String(), seed); err != nil {
+		f.t.Fatal(err)
+	}
+	for try := 0; ; try++ {
+		n.choosePorts(seed)
+		if n.start() {
+			return n
+		}
+		n.toNode.Close()
+		if try == startTries {
+			f.t.Fatalf("%s does not start: %s", n.name, n.log())
+		}
+	}
+}
+
+func (n *node) choosePorts(seed uint64) {
+	address := func() string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			n.f.t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		return l.Addr().String()
+	}
+	n.callers, n.health, n.control, n.metrics, n.calls = address(), address(), address(), address(), address()
+	n.instance.Outbound, n.instance.Control = n.callers, n.control
+	var err error
+	if n.toNode, err = faultproxy.ListenTCP(n.calls, seed); err != nil {
+		n.f.t.Fatal(err)
+	}
+	n.settings = filepath.Join(n.f.t.TempDir(), n.name+".toml")
+	if err := os.WriteFile(n.settings, []byte(n.settingsText()), 0o600); err != nil {
+		n.f.t.Fatal(err)
+	}
+}
+
+func (n *node) settingsText() string {
+	o := n.f.options
+	plugins := ""
+	if o.plugins != "" {
+		plugins = "plugins = " + o.plugins
+	}
+	return fmt.Sprintf(`[sidecar]
+name = %q
+service = %q
+failure_domain = %q
+caller_address = %q
+health_address = %q
+heartbeat_address = %q
+metrics_address = %q
+call_address = %q
+advertised_address = %q
+upstream_address = %q
+memory_mb = 256
+log_level = "info"
+stop_timeout = %q
+%s
+[store]
+address = %q
+partitions = %d
+[bounds]
+key_withdrawal = %q
+retry_ratio = %g
+retry_slack = %g
+retry_window = "10s"
+`, n.name, n.service, n.domain, n.callers, n.health, n.control, n.metrics, n.calls, n.toNode.Addr(),
+		n.instance.Address(), stopLimit, plugins, n.toStore.Addr(), partitions, o.keyWithdrawal, o.retryRatio, o.retrySlack)
+}
+
+// start starts the daemon; it reports false if it has ended at once.
+func (n *node) start() bool {
+	before := strings.Count(n.log(), servesLine)
+	command := exec.Command(daemonPath, "-settings", n.settings)
+	command.Stdout, command.Stderr = n, n
+	if err := command.Start(); err != nil {
+		n.f.t.Error(err)
+		return false
+	}
+	exited := make(chan struct{})
+	go func() {
+		_ = command.Wait()
+		close(exited)
+	}()
+	n.mu.Lock()
+	n.command, n.exited = command, exited
+	n.boot++
+	n.mu.Unlock()
+	for limit := time.Now().Add(startLimit); time.Now().Before(limit); time.Sleep(pollEvery) {
+		select {
+		case <-exited:
+			return false
+		default:
+		}
+		if strings.Count(n.log(), servesLine) > before {
+			return true
+		}
+	}
+	return false
+}
+
+// Write collects what the daemon logs.
+func (n *node) Write(p []byte) (int, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.output.Write(p)
+}
+
+func (n *node) log() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.output.String()
+}
+
+func (n *node) process() (*os.Process, chan struct{}, int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.command == nil {
+		return nil, nil, 0
+	}
+	return n.command.Process, n.exited, n.boot
+}
+
+// signal reports false if the process has ended.
+func (n *node) signal(s syscall.Signal) bool {
+	p, exited, _ := n.process()
+	if p == nil {
+		return false
+	}
+	select {
+	case <-exited:
+		return false
+	default:
+		return p.Signal(s) == nil
+	}
+}
+
+func (n *node) kill() {
+	if n.signal(syscall.SIGKILL) {
+		_, exited, _ := n.process()
+		<-exited
+	}
+}
+
+func (n *node) drawFault() standin.Fault {
+	n.faultMu.Lock()
+	defer n.faultMu.Unlock()
+	draw := n.faultRNG.Int64N(1000)
+	for fault := standin.FaultReject; fault <= standin.FaultExtra; fault++ {
+		if draw -= n.faulty[fault].Load(); draw < 0 {
+			return fault
+		}
+	}
+	return standin.FaultNone
+}
+
+// beat sends one heartbeat.
+func (n *node) beat() bool {
+	n.mu.Lock()
+	n.seq++
+	seq, born := n.seq, n.born
+	n.mu.Unlock()
+	return n.instance.Beat(seq, born)
+}
+
+// replace puts a new instance in the place of the one that has left.
+func (n *node) replace(id string) {
+	n.mu.Lock()
+	n.born, n.seq = time.Now(), 0
+	n.mu.Unlock()
+	n.instance.Replace(id)
+}
+
+func (n *node) ready() bool {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + n.health + "/-/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (f *fleet) addKey(customer string) {
+	f.keyNo++
+	f.keys[fmt.Sprintf("key-%s-%d", customer, f.keyNo)] = customer
+}
+
+// configure writes the next version: the lasting routes and one that only this
+// version has.
+func (f *fleet) configure() {
+	type object = map[string]any
+	version := int(f.version.Load()) + 1
+	rule := func(name, prefix, service, kind string, public bool) object {
+		return object{
+			"name": name, "kind": kind, "target_latency_s": 1.0, "priority": 1, "public": public,
+			"match":  object{"path_prefix": prefix},
+			"action": object{"service": service, "timeout_s": 3, "max_attempts": 2},
+		}
+	}
+	holders := map[string][]string{}
+	held := map[string]string{}
+	for key, customer := range f.keys {
+		holders[customer] = append(holders[customer], key)
+		held[key] = customer
+	}
+	var tenants []object
+	for customer, keys := range holders {
+		tenants = append(tenants, object{"name": customer, "api_keys": keys, "rate_per_s": f.options.rate, "burst": f.options.rate})
+	}
+	document, err := json.Marshal(object{
+		"version": version,
+		"limits":  object{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_s": 3, "idle_timeout_s": 15},
+		"tenants": tenants,
+		"listeners": []object{
+			{"host": "app.example", "rules": []object{
+				rule("maps", "/maps/", "maps", "safe", false),
+				rule("book", "/book/", "maps", "non_idempotent", false),
+				rule("look", "/look/", "status", "safe", false),
+				rule(fmt.Sprint("v", version), fmt.Sprintf("/v%d/", version), "status", "safe", false),
+			}},
+			{"host": "in.example", "rules": []object{rule("status", "/status/", "status", "safe", true)}},
+		},
+		"clusters": []object{
+			{"name": "maps", "health_path": "/health", "max_connections": 100},
+			{"name": "status", "health_path": "/health", "max_connections": 100},
+		},
+	})
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	f.store.Put("keyed.op", "config", document)
+	f.version.Store(int64(version))
+	f.ledger.mu.Lock()
+	f.ledger.changes = append(f.ledger.changes, change{version: version, at: time.Now(), keys: held})
+	f.ledger.mu.Unlock()
+}
--- a/state/member.go
+++ b/state/member.go
@@ -3,10 +3,19 @@
 // hold equal snapshots.
 package state
 
+import "strings"
+
 // MemberID names one incarnation of a node: a fresh random value for each
 // start of the process, so a replaced instance at a reused address differs.
 type MemberID string
 
+// Place returns the part of an ID before "#", which all incarnations of a node
+// in one place of the fleet share.
+func (id MemberID) Place() string {
+	place, _, _ := strings.Cut(string(id), "#")
+	return place
+}
+
 // Member is an announced node and the upstream instance beside it.
 type Member struct {
 	ID      MemberID `cbor:"1,keyasint"`
