Soak: real daemons under drawn faults, with checks of the promises and tests that each check fails

Nodes, proxies to the store and between nodes, stand-in instances, callers on kept connections, an operator.

--- /dev/null
+++ b/soak/faults_test.go
@@ -0,0 +1,281 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/internal/faultproxy"
+	"github.com/gooseberryflow/gooseberryflow/platform/standin"
+)
+
+const (
+	faultLeast = 300 * time.Millisecond
+	faultMost  = 4 * time.Second
+	// instanceFaulty is the part of requests, in thousands, with which an
+	// instance goes wrong, instanceRejects that which it rejects.
+	instanceFaulty  = 150
+	instanceRejects = 600
+	storeSlow       = 300 * time.Millisecond
+	storeLate       = 2 * time.Second
+	linkDelay       = 120 * time.Millisecond
+	leaveTime       = 2500 * time.Millisecond
+	stormChanges    = 4
+	stormPause      = 250 * time.Millisecond
+)
+
+// event is one fault of a schedule.
+type event struct {
+	kind  string
+	at    time.Duration
+	lasts time.Duration
+	node  int
+	way   faultproxy.Direction
+}
+
+func (e event) String() string {
+	return fmt.Sprintf("%s at %s for %s on node %d way %d", e.kind, e.at.Round(time.Millisecond), e.lasts.Round(time.Millisecond), e.node, e.way)
+}
+
+// schedule draws the events of a run.
+func schedule(rng *rand.Rand, count int, length time.Duration) []event {
+	kinds := []string{
+		"kill", "kill-all", "pause", "stop", "stop", "store-down", "store-silent", "store-slow", "store-lose", "store-late",
+		"store-cut", "store-silence", "compact", "rebalance", "link-delay", "link-cut", "link-silence", "link-reset",
+		"answers-lost", "answers-short", "answers-extra", "rejects", "leave", "change", "storm", "withdraw", "withdraw",
+	}
+	var events []event
+	for range count {
+		events = append(events, event{
+			kind:  kinds[rng.IntN(len(kinds))],
+			at:    time.Duration(rng.Int64N(int64(length))),
+			lasts: faultLeast + time.Duration(rng.Int64N(int64(faultMost-faultLeast))),
+			node:  rng.IntN(len(places)),
+			way:   faultproxy.Direction(rng.IntN(2)),
+		})
+	}
+	return events
+}
+
+// faults plays events; each node takes one fault of its process at a time.
+type faults struct {
+	f       *fleet
+	process []sync.Mutex // by node
+	storeMu sync.Mutex
+	store   standin.Faults
+	config  sync.Mutex
+}
+
+func newFaults(f *fleet) *faults { return &faults{f: f, process: make([]sync.Mutex, len(f.nodes))} }
+
+// play runs all events and returns when the last one is over.
+func (x *faults) play(events []event) {
+	began := time.Now()
+	var running sync.WaitGroup
+	for _, e := range events {
+		running.Go(func() {
+			time.Sleep(time.Until(began.Add(e.at)))
+			x.inject(e)
+		})
+	}
+	running.Wait()
+}
+
+func (x *faults) inject(e event) {
+	n := x.f.nodes[e.node]
+	switch e.kind {
+	case "kill", "pause", "stop":
+		x.process[e.node].Lock()
+		defer x.process[e.node].Unlock()
+		x.onProcess(e, n)
+	case "kill-all":
+		var running sync.WaitGroup
+		for i, n := range x.f.nodes {
+			running.Go(func() { x.inject(event{kind: "kill", lasts: e.lasts / 4, node: i}); _ = n })
+		}
+		running.Wait()
+	case "store-down", "store-silent", "store-slow", "store-lose", "store-late":
+		x.onStore(e)
+	case "store-cut":
+		x.onProxy(e, n.toStore, faultproxy.Faults{Cut: true}, faultproxy.ToTarget, faultproxy.ToClient)
+	case "store-silence":
+		x.onProxy(e, n.toStore, faultproxy.Faults{Freeze: true}, e.way)
+	case "link-delay":
+		x.onProxy(e, n.toNode, faultproxy.Faults{Delay: linkDelay, Jitter: linkDelay}, faultproxy.ToTarget, faultproxy.ToClient)
+	case "link-cut":
+		x.onProxy(e, n.toNode, faultproxy.Faults{Cut: true}, faultproxy.ToTarget, faultproxy.ToClient)
+	case "link-silence":
+		x.onProxy(e, n.toNode, faultproxy.Faults{Freeze: true}, e.way)
+	case "link-reset":
+		x.note(-1, time.Now(), time.Now())
+		n.toNode.Reset()
+		n.toStore.Reset()
+	case "compact":
+		x.f.store.Compact()
+	case "rebalance":
+		x.f.store.Rebalance()
+	case "answers-lost":
+		x.onInstance(e, n, standin.FaultLose)
+	case "answers-short":
+		x.onInstance(e, n, standin.FaultShort)
+	case "answers-extra":
+		x.onInstance(e, n, standin.FaultExtra)
+	case "rejects":
+		x.onInstance(e, n, standin.FaultReject)
+	case "leave":
+		x.leave(n)
+	default:
+		x.onConfig(e)
+	}
+}
+
+// note records a fault of one node, or of all with a negative number.
+func (x *faults) note(node int, from, to time.Time) {
+	l := x.f.ledger
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if node < 0 {
+		l.faults = append(l.faults, span{from, to})
+		return
+	}
+	l.hurt[node] = append(l.hurt[node], span{from, to})
+}
+
+func (x *faults) onProcess(e event, n *node) {
+	from := time.Now()
+	switch e.kind {
+	case "pause":
+		if n.signal(syscall.SIGSTOP) {
+			time.Sleep(e.lasts)
+			n.signal(syscall.SIGCONT)
+		}
+		x.note(e.node, from, time.Now())
+	case "stop":
+		x.plannedStop(e, n, from)
+	default:
+		n.kill()
+		time.Sleep(e.lasts / 4)
+		n.start()
+		x.note(e.node, from, time.Now())
+	}
+}
+
+// plannedStop stops a process, with a kill after the stop timeout, and starts
+// it again.
+func (x *faults) plannedStop(e event, n *node, from time.Time) {
+	l := x.f.ledger
+	l.mu.Lock()
+	at := len(l.stops[e.node])
+	l.stops[e.node] = append(l.stops[e.node], span{from, from.Add(stopLimit)})
+	l.mu.Unlock()
+	how := syscall.SIGTERM
+	if x.f.options.killToStop {
+		how = syscall.SIGKILL
+	}
+	if _, exited, _ := n.process(); n.signal(how) {
+		select {
+		case <-exited:
+		case <-time.After(stopLimit):
+			x.f.t.Errorf("%s was still there %s after SIGTERM", n.name, stopLimit)
+			n.kill()
+		}
+	}
+	n.start()
+	l.mu.Lock()
+	l.stops[e.node][at].to = time.Now()
+	l.mu.Unlock()
+}
+
+func (x *faults) onStore(e event) {
+	change := func(on bool) {
+		x.storeMu.Lock()
+		defer x.storeMu.Unlock()
+		switch e.kind {
+		case "store-down":
+			x.store.Down = on
+		case "store-silent":
+			x.store.Silent = on
+		case "store-slow":
+			x.store.Slow = map[bool]time.Duration{true: storeSlow}[on]
+		case "store-lose":
+			x.store.LoseWrites = on
+		case "store-late":
+			x.store.LateWrites = map[bool]time.Duration{true: storeLate}[on]
+		}
+		x.f.store.SetFaults(x.store)
+	}
+	from := time.Now()
+	change(true)
+	time.Sleep(e.lasts)
+	change(false)
+	x.note(-1, from, time.Now())
+}
+
+func (x *faults) onProxy(e event, p *faultproxy.Proxy, f faultproxy.Faults, ways ...faultproxy.Direction) {
+	from := time.Now()
+	p.Set(f, ways...)
+	time.Sleep(e.lasts)
+	p.Set(faultproxy.Faults{}, ways...)
+	x.note(-1, from, time.Now())
+}
+
+func (x *faults) onInstance(e event, n *node, f standin.Fault) {
+	from := time.Now()
+	part := int64(instanceFaulty)
+	if f == standin.FaultReject {
+		part = instanceRejects
+	}
+	n.faulty[f].Store(part)
+	time.Sleep(e.lasts)
+	n.faulty[f].Store(0)
+	x.note(-1, from, time.Now())
+}
+
+// leave has the instance drain, serve on for a while and make room for another
+// one at its address.
+func (x *faults) leave(n *node) {
+	x.process[n.index].Lock()
+	defer x.process[n.index].Unlock()
+	n.instance.Drain()
+	acknowledged := n.beat()
+	l := x.f.ledger
+	l.mu.Lock()
+	at := -1
+	if acknowledged {
+		at = len(l.leaves)
+		l.leaves = append(l.leaves, leave{node: n.index, at: time.Now()})
+	}
+	l.mu.Unlock()
+	time.Sleep(leaveTime)
+	n.instance.Leave()
+	n.replace(fmt.Sprintf("i-%s-%d", n.name, time.Now().UnixMilli()))
+	if at >= 0 {
+		l.mu.Lock()
+		l.leaves[at].replaced = time.Now()
+		l.mu.Unlock()
+	}
+}
+
+func (x *faults) onConfig(e event) {
+	x.config.Lock()
+	defer x.config.Unlock()
+	changes := 1
+	if e.kind == "storm" {
+		changes = stormChanges
+	}
+	if e.kind == "withdraw" {
+		for key, customer := range x.f.keys {
+			delete(x.f.keys, key)
+			x.f.addKey(customer)
+			break
+		}
+	}
+	for i := range changes {
+		if i > 0 {
+			time.Sleep(stormPause)
+		}
+		x.f.configure()
+	}
+}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -65,7 +65,7 @@
 }
 
 func defaultOptions() options {
-	return options{keyWithdrawal: "5s", retryRatio: retryRatio, retrySlack: retrySlack, rate: 60}
+	return options{keyWithdrawal: "5s", retryRatio: retryRatio, retrySlack: retrySlack, rate: 120}
 }
 
 // fleet is the daemons with all around them.
@@ -411,3 +411,17 @@
 	f.ledger.changes = append(f.ledger.changes, change{version: version, at: time.Now(), keys: held})
 	f.ledger.mu.Unlock()
 }
+
+// keepLogs writes what the daemons logged beside the test's temporary files.
+func (f *fleet) keepLogs() {
+	dir := os.Getenv("SOAK_LOGS")
+	if dir == "" {
+		return
+	}
+	for _, n := range f.nodes {
+		path := filepath.Join(dir, strings.ReplaceAll(f.t.Name(), "/", "-")+"-"+n.name+".log")
+		if err := os.WriteFile(path, []byte(n.log()), 0o600); err != nil {
+			f.t.Logf("logs not kept: %v", err)
+		}
+	}
+}
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -104,7 +104,7 @@
 	return &ledger{
 		sent: map[string]*sent{}, arrivals: map[string][]time.Time{}, firsts: map[string][]time.Time{},
 		arrived: map[string]bool{},
-		hurt: map[int][]span{}, stops: map[int][]span{}, services: services,
+		hurt:    map[int][]span{}, stops: map[int][]span{}, services: services,
 	}
 }
 
