--- a/kernel/host.go
+++ b/kernel/host.go
@@ -27,6 +27,9 @@
 	// MaxKeyAge is the StateAge above which no key is accepted; zero means no
 	// bound.
 	MaxKeyAge time.Duration
+	// InstancesApart is set where an instance goes on running when the node
+	// beside it ends, so that the loss of a node says nothing of its instance.
+	InstancesApart bool
 	// Pools configures the owners of customers' rates, and Announce tells the
 	// other nodes which partitions of them this node owns.
 	Pools    PoolSettings
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -10,7 +10,8 @@
 // the number is the epoch of the calls that were in flight, so a death counts
 // once, however many calls were lost in it. The death of a node together with
 // its instance is seen by the nodes that had calls there and counts once as
-// well, since a member ID names one incarnation.
+// well, since a member ID names one incarnation; where instances outlive their
+// nodes (Host.InstancesApart) it counts for nothing.
 //
 // At an instance no suspect runs beside another one (also not beside a copy of
 // itself), so a second death points at one suspect. Others wait for up to
--- a/quarantine/plugin.go
+++ b/quarantine/plugin.go
@@ -91,11 +91,14 @@
 }
 
 // lostAtOwner records the death that a result tells of: the one that the
-// owner has named, or that of the owner's node.
+// owner has named, or that of the owner's node if its instance ends with it.
 func (p *Plugin) lostAtOwner(c *kernel.Call, r *kernel.Result) {
 	d := deathID(r.Header.Get(deathHeader))
 	r.Header.Del(deathHeader)
 	named := d != ""
+	if !named && p.host.InstancesApart {
+		return
+	}
 	if !named {
 		d = nodeDeath(r.Owner)
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -334,6 +334,23 @@
 }
 
 // Calls lost together at one entry node are told in one message to each node.
+// Pattern: all nodes are killed while links are down (soak seed 119). Instances
+// that outlive their nodes are not lost with them, so a request that many callers
+// send is not refused for it.
+func TestLostNodesAreNoLostInstances(t *testing.T) {
+	for _, apart := range []bool{false, true} {
+		f := newFleet(t, 1, 3)
+		entry := f.nodes["n2"]
+		entry.host.InstancesApart = apart
+		for _, owner := range []state.MemberID{"n0", "n1"} {
+			entry.observe(call(7), &kernel.Result{Outcome: kernel.OutcomeUnknown, Lost: true, Owner: owner})
+		}
+		if refused := entry.refuse(call(7)) != nil; refused == apart {
+			t.Errorf("instances apart %t: refused %t", apart, refused)
+		}
+	}
+}
+
 func TestLostCallsShareAMessage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, 5)
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -101,20 +101,22 @@
 	})
 	n.directory.Attach(network)
 	n.host = &kernel.Host{
-		Self:          self,
-		Now:           time.Now,
-		Rand:          rand.Uint64,
-		Snapshot:      n.directory.Snapshot,
-		StateAge:      n.directory.Age,
-		MaxKeyAge:     s.MaxKeyAge,
-		Retries:       s.Retries,
-		Pools:         s.Pools,
-		Announce:      n.announcePools,
-		AnnounceNeeds: n.announceNeeds,
-		Peers:         network,
-		Log:           log,
-		Forward:       n.forward,
-		Go:            n.background.Go,
+		Self:      self,
+		Now:       time.Now,
+		Rand:      rand.Uint64,
+		Snapshot:  n.directory.Snapshot,
+		StateAge:  n.directory.Age,
+		MaxKeyAge: s.MaxKeyAge,
+		// The platform stops and starts nodes beside running instances.
+		InstancesApart: true,
+		Retries:        s.Retries,
+		Pools:          s.Pools,
+		Announce:       n.announcePools,
+		AnnounceNeeds:  n.announceNeeds,
+		Peers:          network,
+		Log:            log,
+		Forward:        n.forward,
+		Go:             n.background.Go,
 	}
 	if n.plugins, err = kernel.NewSet(n.host, s.Plugins); err != nil {
 		network.Close()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,7 +26,9 @@
 )
 
 // regressions are the seeds that ever failed, with the cause.
-var regressions = []uint64{}
+var regressions = []uint64{
+	119, // killed nodes counted as lost instances, so requests sent by many callers were quarantined
+}
 
 // TestSoak plays schedules of faults drawn from seeds against whole fleets.
 func TestSoak(t *testing.T) {
