--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -34,6 +34,9 @@
 	// onceIdle bounds the idle time of a connection that carries a request
 	// which must not be repeated: an instance may have forgotten an older one.
 	onceIdle = 300 * time.Millisecond
+	// freshIdle is the idle time within which a connection is not looked at
+	// before a request that may be repeated.
+	freshIdle = 50 * time.Millisecond
 )
 
 // Limits bound what the pool holds.
@@ -111,7 +114,8 @@
 			return p.dial(ctx)
 		}
 		idle := now.Sub(c.usedAt)
-		if idle > c.keep || r.Once && idle > onceIdle || c.dead() {
+		fresh := idle < freshIdle && !r.Once && c.reader.Buffered() == 0
+		if idle > c.keep || r.Once && idle > onceIdle || !fresh && c.dead() {
 			c.close()
 			continue
 		}
