--- a/admission/graph/gate.go
+++ b/admission/graph/gate.go
@@ -8,7 +8,8 @@
 // Parameters of the queue.
 const (
 	// waitPart is the part of the time left by the latency objective that a
-	// new request may wait; begunPart that of a call of begun work.
+	// new request may wait; begunPart the part of the time left by its deadline
+	// that a call of begun work may wait, whose refusal wastes its whole tree.
 	waitPart  = 0.5
 	begunPart = 0.9
 	// defaultObjective stands in where a route has none.
@@ -126,13 +127,13 @@
 		objective = defaultObjective
 	}
 	left := max(objective-run, objective/8)
-	part := waitPart
+	startBy = now.Add(left)
+	latest := t.Deadline.Add(-run)
 	if t.Begun {
-		part = begunPart
+		return startBy, now.Add(time.Duration(begunPart * float64(latest.Sub(now))))
 	}
-	startBy = now.Add(left)
-	giveUp = now.Add(time.Duration(part * float64(left)))
-	if latest := t.Deadline.Add(-run); latest.Before(giveUp) {
+	giveUp = now.Add(time.Duration(waitPart * float64(left)))
+	if latest.Before(giveUp) {
 		giveUp = latest
 	}
 	return startBy, giveUp
--- /dev/null
+++ b/internal/daemontest/daemon.go
@@ -0,0 +1,149 @@
+// Package daemontest builds and runs gooseberryflowd as separate processes for
+// tests. It ends only processes that it has started, by their IDs.
+package daemontest
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// startLimit bounds the time until a daemon says that it serves.
+	startLimit = 40 * time.Second
+	pollEvery  = 20 * time.Millisecond
+	servesLine = `"msg":"node serves"`
+)
+
+// ErrEnded means that a daemon has ended before it served, as it does when
+// another process has one of its ports.
+var ErrEnded = errors.New("daemon ended at its start")
+
+// Run builds the daemon for a test binary, calls run with its path and returns
+// the exit code. It is meant for TestMain; dir is the source folder of the daemon.
+func Run(dir string, run func(path string) int) int {
+	temporary, err := os.MkdirTemp("", "gooseberryflow")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(temporary) }()
+	path := filepath.Join(temporary, "gooseberryflowd")
+	if out, err := exec.Command("go", "build", "-o", path, dir).CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build the daemon: %v\n%s", err, out)
+		return 1
+	}
+	return run(path)
+}
+
+// FreeAddress returns a loopback address whose port is free now.
+func FreeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+// Daemon is one daemon, which may be started again and again. It is safe for
+// concurrent use, but for Start.
+type Daemon struct {
+	// Path is the program, Settings its settings file.
+	Path, Settings string
+
+	mu      sync.Mutex
+	output  bytes.Buffer
+	command *exec.Cmd
+	exited  chan struct{}
+	boot    int
+}
+
+// Start starts the daemon and waits until it serves.
+func (d *Daemon) Start() error {
+	before := strings.Count(d.Log(), servesLine)
+	command := exec.Command(d.Path, "-settings", d.Settings)
+	command.Stdout, command.Stderr = d, d
+	if err := command.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	go func() {
+		_ = command.Wait()
+		close(exited)
+	}()
+	d.mu.Lock()
+	d.command, d.exited = command, exited
+	d.boot++
+	d.mu.Unlock()
+	for limit := time.Now().Add(startLimit); time.Now().Before(limit); time.Sleep(pollEvery) {
+		select {
+		case <-exited:
+			return ErrEnded
+		default:
+		}
+		if strings.Count(d.Log(), servesLine) > before {
+			return nil
+		}
+	}
+	return fmt.Errorf("daemon does not serve within %s", startLimit)
+}
+
+// Write collects what the daemon logs.
+func (d *Daemon) Write(p []byte) (int, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.output.Write(p)
+}
+
+// Log returns what all processes of the daemon have logged.
+func (d *Daemon) Log() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.output.String()
+}
+
+// Boot returns the number of starts.
+func (d *Daemon) Boot() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.boot
+}
+
+// Exited returns a channel that is closed when the latest process has ended;
+// nil before the first start.
+func (d *Daemon) Exited() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.exited
+}
+
+// Signal sends a signal; it reports false if there is no process.
+func (d *Daemon) Signal(s syscall.Signal) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.command == nil {
+		return false
+	}
+	select {
+	case <-d.exited:
+		return false
+	default:
+		return d.command.Process.Signal(s) == nil
+	}
+}
+
+// Kill ends the process and waits for its end.
+func (d *Daemon) Kill() {
+	if d.Signal(syscall.SIGKILL) {
+		<-d.Exited()
+	}
+}
--- a/settings/sidecar_test.go
+++ b/settings/sidecar_test.go
@@ -35,6 +35,16 @@
 	}
 }
 
+// Other nodes reach a node at call_address unless the settings name another one.
+func TestAdvertisedAddress(t *testing.T) {
+	for line, want := range map[string]string{"": "10.0.0.1:5", "advertised_address = \"10.0.0.1:7\"\n": "10.0.0.1:7"} {
+		s, err := Load("f", []byte(strings.Replace(sidecarText, "memory_mb", line+"memory_mb", 1)))
+		if err != nil || s.Sidecar.AdvertisedAddress.String() != want {
+			t.Errorf("%q: %v %v", line, s, err)
+		}
+	}
+}
+
 // All faults of a file are told in one go.
 func TestSidecarSettingsTellAllFaults(t *testing.T) {
 	text := sidecarText
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -94,7 +94,7 @@
 
 func (c *callers) send(client *http.Client, n *node, rng *rand.Rand) {
 	s, method, path, body := c.draw(n, rng)
-	_, _, s.Boot = n.process()
+	s.Boot = n.Boot()
 	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { s.Kept = info.Reused },
 	})
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -147,21 +147,27 @@
 	from := time.Now()
 	switch e.kind {
 	case "pause":
-		if n.signal(syscall.SIGSTOP) {
+		if n.Signal(syscall.SIGSTOP) {
 			time.Sleep(e.lasts)
-			n.signal(syscall.SIGCONT)
+			n.Signal(syscall.SIGCONT)
 		}
 		x.note(e.node, from, time.Now())
 	case "stop":
 		x.plannedStop(e, n, from)
 	default:
-		n.kill()
+		n.Kill()
 		time.Sleep(e.lasts / 4)
-		n.start()
+		x.start(n)
 		x.note(e.node, from, time.Now())
 	}
 }
 
+func (x *faults) start(n *node) {
+	if err := n.Start(); err != nil {
+		x.f.t.Errorf("%s does not start again: %v", n.name, err)
+	}
+}
+
 // plannedStop stops a process, with a kill after the stop timeout, and starts
 // it again.
 func (x *faults) plannedStop(e event, n *node, from time.Time) {
@@ -174,15 +180,15 @@
 	if x.f.options.killToStop {
 		how = syscall.SIGKILL
 	}
-	if _, exited, _ := n.process(); n.signal(how) {
+	if n.Signal(how) {
 		select {
-		case <-exited:
+		case <-n.Exited():
 		case <-time.After(stopLimit):
 			x.f.t.Errorf("%s was still there %s after SIGTERM", n.name, stopLimit)
-			n.kill()
+			n.Kill()
 		}
 	}
-	n.start()
+	x.start(n)
 	l.mu.Lock()
 	l.stops[e.node][at].to = time.Now()
 	l.mu.Unlock()
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -1,23 +1,20 @@
 package soak
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
+	"github.com/gooseberryflow/gooseberryflow/internal/daemontest"
 	"github.com/gooseberryflow/gooseberryflow/internal/faultproxy"
 	"github.com/gooseberryflow/gooseberryflow/platform/standin"
 )
@@ -29,29 +26,17 @@
 	beatEvery  = 300 * time.Millisecond
 	stopLimit  = 6 * time.Second
 	partitions = 8
-	servesLine = `"msg":"node serves"`
-	// slots and work make an instance of either service.
+	// slots are those of an instance of either service.
 	slots = 24
-	work  = 4 * time.Millisecond
 )
 
 var daemonPath string
 
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "gooseberryflow-soak")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	daemonPath = filepath.Join(dir, "gooseberryflowd")
-	code := 1
-	if out, err := exec.Command("go", "build", "-o", daemonPath, "../cmd/gooseberryflowd").CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build the daemon: %v\n%s", err, out)
-	} else {
-		code = m.Run()
-	}
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(daemontest.Run("../cmd/gooseberryflowd", func(path string) int {
+		daemonPath = path
+		return m.Run()
+	}))
 }
 
 // options change what the daemons do, to see checks fail.
@@ -62,10 +47,11 @@
 	retrySlack    float64
 	rate          int
 	killToStop    bool // a planned stop is a kill
+	work          time.Duration
 }
 
 func defaultOptions() options {
-	return options{keyWithdrawal: "5s", retryRatio: retryRatio, retrySlack: retrySlack, rate: 120}
+	return options{keyWithdrawal: "5s", retryRatio: retryRatio, retrySlack: retrySlack, rate: 120, work: 4 * time.Millisecond}
 }
 
 // fleet is the daemons with all around them.
@@ -104,20 +90,16 @@
 	control  string
 	metrics  string
 	calls    string
-	settings string
+	daemontest.Daemon
 
 	// faulty is the probability in thousands of a fault at the instance.
 	faulty   [standin.FaultExtra + 1]atomic.Int64
 	faultMu  sync.Mutex
 	faultRNG *rand.Rand
 
-	mu      sync.Mutex
-	output  bytes.Buffer
-	command *exec.Cmd
-	exited  chan struct{}
-	boot    int
-	born    time.Time
-	seq     int
+	mu   sync.Mutex
+	born time.Time
+	seq  int
 }
 
 func newFleet(t *testing.T, seed uint64, o options) *fleet {
@@ -143,7 +125,7 @@
 
 func (f *fleet) close() {
 	for _, n := range f.nodes {
-		n.kill()
+		n.Kill()
 		n.instance.Stop()
 		n.toStore.Close()
 		n.toNode.Close()
@@ -158,7 +140,7 @@
 		faultRNG: rand.New(rand.NewPCG(seed, uint64(index)+1)),
 	}
 	n.instance = &standin.Instance{
-		ID: "i-" + n.name, Service: p.service, Slots: slots, Work: work, Faults: n.drawFault,
+		ID: "i-" + n.name, Service: p.service, Slots: slots, Work: f.options.work, Faults: n.drawFault,
 		OnArrival: f.ledger.arrive,
 		OnRun: func(r standin.Run) {
 			f.ledger.ran(run{
@@ -179,24 +161,23 @@
 	}
 	for try := 0; ; try++ {
 		n.choosePorts(seed)
-		if n.start() {
+		if err = n.Start(); err == nil {
 			return n
 		}
 		n.toNode.Close()
 		if try == startTries {
-			f.t.Fatalf("%s does not start: %s", n.name, n.log())
+			f.t.Fatalf("%s does not start: %v\n%s", n.name, err, n.Log())
 		}
 	}
 }
 
 func (n *node) choosePorts(seed uint64) {
 	address := func() string {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		free, err := daemontest.FreeAddress()
 		if err != nil {
 			n.f.t.Fatal(err)
 		}
-		defer func() { _ = l.Close() }()
-		return l.Addr().String()
+		return free
 	}
 	n.callers, n.health, n.control, n.metrics, n.calls = address(), address(), address(), address(), address()
 	n.instance.Outbound, n.instance.Control = n.callers, n.control
@@ -204,8 +185,8 @@
 	if n.toNode, err = faultproxy.ListenTCP(n.calls, seed); err != nil {
 		n.f.t.Fatal(err)
 	}
-	n.settings = filepath.Join(n.f.t.TempDir(), n.name+".toml")
-	if err := os.WriteFile(n.settings, []byte(n.settingsText()), 0o600); err != nil {
+	n.Path, n.Settings = daemonPath, filepath.Join(n.f.t.TempDir(), n.name+".toml")
+	if err := os.WriteFile(n.Settings, []byte(n.settingsText()), 0o600); err != nil {
 		n.f.t.Fatal(err)
 	}
 }
@@ -243,80 +224,6 @@
 		n.instance.Address(), stopLimit, plugins, n.toStore.Addr(), partitions, o.keyWithdrawal, o.retryRatio, o.retrySlack)
 }
 
-// start starts the daemon; it reports false if it has ended at once.
-func (n *node) start() bool {
-	before := strings.Count(n.log(), servesLine)
-	command := exec.Command(daemonPath, "-settings", n.settings)
-	command.Stdout, command.Stderr = n, n
-	if err := command.Start(); err != nil {
-		n.f.t.Error(err)
-		return false
-	}
-	exited := make(chan struct{})
-	go func() {
-		_ = command.Wait()
-		close(exited)
-	}()
-	n.mu.Lock()
-	n.command, n.exited = command, exited
-	n.boot++
-	n.mu.Unlock()
-	for limit := time.Now().Add(startLimit); time.Now().Before(limit); time.Sleep(pollEvery) {
-		select {
-		case <-exited:
-			return false
-		default:
-		}
-		if strings.Count(n.log(), servesLine) > before {
-			return true
-		}
-	}
-	return false
-}
-
-// Write collects what the daemon logs.
-func (n *node) Write(p []byte) (int, error) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.output.Write(p)
-}
-
-func (n *node) log() string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.output.String()
-}
-
-func (n *node) process() (*os.Process, chan struct{}, int) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.command == nil {
-		return nil, nil, 0
-	}
-	return n.command.Process, n.exited, n.boot
-}
-
-// signal reports false if the process has ended.
-func (n *node) signal(s syscall.Signal) bool {
-	p, exited, _ := n.process()
-	if p == nil {
-		return false
-	}
-	select {
-	case <-exited:
-		return false
-	default:
-		return p.Signal(s) == nil
-	}
-}
-
-func (n *node) kill() {
-	if n.signal(syscall.SIGKILL) {
-		_, exited, _ := n.process()
-		<-exited
-	}
-}
-
 func (n *node) drawFault() standin.Fault {
 	n.faultMu.Lock()
 	defer n.faultMu.Unlock()
@@ -420,7 +327,7 @@
 	}
 	for _, n := range f.nodes {
 		path := filepath.Join(dir, strings.ReplaceAll(f.t.Name(), "/", "-")+"-"+n.name+".log")
-		if err := os.WriteFile(path, []byte(n.log()), 0o600); err != nil {
+		if err := os.WriteFile(path, []byte(n.Log()), 0o600); err != nil {
 			f.t.Logf("logs not kept: %v", err)
 		}
 	}
--- a/soak/mechanisms_test.go
+++ b/soak/mechanisms_test.go
@@ -32,7 +32,10 @@
 		{"keys of any age", "revoked", func(o *options) { o.keyWithdrawal = "1h" }, []event{
 			cut(0), cut(1), cut(2), cut(3), cut(4), cut(5), {kind: "withdraw", at: time.Second},
 		}},
-		{"a stop that is a kill", "stop", func(o *options) { o.killToStop = true }, []event{
+		{"a stop that is a kill", "stop", func(o *options) {
+			// Each caller has a request in flight most of the time.
+			o.killToStop, o.work = true, 150*time.Millisecond
+		}, []event{
 			{kind: "stop", node: 0, at: 4 * time.Second}, {kind: "stop", node: 2, at: 5 * time.Second},
 			{kind: "stop", node: 4, at: 6 * time.Second},
 		}},
