--- /dev/null
+++ b/ratelimit/quota/owners.go
@@ -0,0 +1,183 @@
+package quota
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/gooseberryflow/gooseberryflow/internal/boottime"
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+func (p *Plugin) Resign(ctx context.Context) {
+	p.mu.Lock()
+	held := len(p.tenure.partitions)
+	if p.resigned {
+		held = 0
+	}
+	p.resigned = true
+	p.tenure.until = 0
+	p.mu.Unlock()
+	if held == 0 {
+		return
+	}
+	if err := p.host.Pools.Groups.Leave(ctx, p.host.Self.ID.Place()); err != nil {
+		p.host.Log.Warn("pools not given back", "error", err)
+	}
+}
+
+func (p *Plugin) checkContacts(now time.Time) bool {
+	cut := p.contacts.mostFail(now)
+	if cut && !p.isolated {
+		p.cutSince = now
+	}
+	p.isolated = cut
+	if !p.shunned(now) || len(p.tenure.partitions) == 0 || p.resigned {
+		return false
+	}
+	p.tenure.partitions, p.tenure.until = map[int]time.Time{}, 0
+	return true
+}
+
+func (p *Plugin) shunned(now time.Time) bool {
+	return p.isolated && now.Sub(p.cutSince) < isolatedMost
+}
+
+func (p *Plugin) leave() {
+	ctx, stop := context.WithTimeout(context.Background(), joinTimeout)
+	defer stop()
+	if err := p.host.Pools.Groups.Leave(ctx, p.host.Self.ID.Place()); err != nil {
+		p.host.Log.Warn("pools not given back", "error", err)
+	}
+	p.host.Announce(nil, 0)
+}
+
+func (p *Plugin) stands(s *state.Snapshot, now time.Time) bool {
+	if p.shunned(now) {
+		return false
+	}
+	missing := false
+	for _, h := range p.holdings {
+		missing = missing || h.orphaned && now.Sub(h.orphanedAt) > missingTerm
+	}
+	if missing {
+		return true
+	}
+	self := xxhash.Sum64String(p.host.Self.ID.Place())
+	before := 0
+	for id := range s.Members {
+		if xxhash.Sum64String(id.Place()) < self {
+			before++
+		}
+	}
+	return before < standing
+}
+
+func limited(s *state.Snapshot) bool {
+	if s.Config == nil {
+		return false
+	}
+	for _, c := range s.Config.Customers {
+		if c.Rate > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func reached(ctx context.Context, err error) bool {
+	switch {
+	case err == nil, errors.Is(err, syscall.ECONNREFUSED):
+		return true
+	case ctx.Err() != nil, errors.Is(err, kernel.ErrNotSent):
+		return false
+	}
+	return true
+}
+
+func (p *Plugin) met(owner state.MemberID, reached bool) {
+	now := p.host.Now()
+	p.mu.Lock()
+	p.contacts[owner] = contact{at: now, reached: reached}
+	p.mu.Unlock()
+}
+
+func (p *Plugin) ownerOf(customer string, s *state.Snapshot) (state.PoolOwner, bool) {
+	partition := partitionOf(customer, p.tenure.count)
+	owner, known := s.Pools[partition]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if told, ok := p.news[partition]; ok && (!known || told.Term > owner.Term) {
+		return told, true
+	}
+	return owner, known
+}
+
+type ownership struct {
+	Member     state.Member `cbor:"1,keyasint"`
+	Partitions []int        `cbor:"2,keyasint"`
+	Term       uint64       `cbor:"3,keyasint"`
+}
+
+func (p *Plugin) onOwner(_ context.Context, _ state.MemberID, body []byte) ([]byte, error) {
+	var o ownership
+	if err := cbor.Unmarshal(body, &o); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, partition := range o.Partitions {
+		if old, known := p.news[partition]; partition >= 0 && partition < p.tenure.count && (!known || old.Term < o.Term) {
+			p.news[partition] = state.PoolOwner{Member: o.Member, Term: o.Term}
+		}
+	}
+	return nil, nil
+}
+
+func (p *Plugin) tell(partitions []int, term uint64) {
+	notifier, ok := p.host.Peers.(kernel.Notifier)
+	if !ok || len(partitions) == 0 {
+		return
+	}
+	body, err := cbor.Marshal(ownership{Member: p.host.Self, Partitions: partitions, Term: term})
+	if err != nil {
+		p.host.Log.Error("owned pools not encoded", "error", err)
+		return
+	}
+	for id, m := range p.host.Snapshot().Members {
+		if id != p.host.Self.ID {
+			notifier.Notify(m, kindOwner, body)
+		}
+	}
+}
+
+func (p *Plugin) join() {
+	p.mu.Lock()
+	generation := p.tenure.generation
+	p.mu.Unlock()
+	ctx, stop := context.WithTimeout(context.Background(), joinTimeout)
+	defer stop()
+	sent := boottime.Now()
+	partitions, next, err := p.host.Pools.Groups.Join(ctx, p.host.Self.ID.Place(), p.host.Pools.Term, generation)
+	p.mu.Lock()
+	p.joining = false
+	changed := false
+	if err == nil && !p.resigned && !p.closed && !p.shunned(p.host.Now()) {
+		changed = p.tenure.renew(partitions, next, sent, p.host.Now(), p.host.Pools.Term)
+	}
+	p.mu.Unlock()
+	if err != nil {
+		p.host.Log.Warn("group of pools not joined", "error", err)
+		return
+	}
+	if changed {
+		p.host.Log.Info("pools owned", "partitions", partitions, "generation", next)
+		p.host.Announce(partitions, next)
+		p.tell(partitions, next)
+	}
+}
