Customers' own priority is not used again: a failed try, reverted

Cause of the try: PROTOCOL gives it precedence. The configurations give all customers a priority, 0 or 1, so that routes' ranks were lost.

--- a/admission/graph/plugin.go
+++ b/admission/graph/plugin.go
@@ -154,9 +154,6 @@
 			top = max(top, int(r.Priority)+1)
 		}
 	}
-	for _, rank := range s.Config.Ranks {
-		top = max(top, int(rank)+1)
-	}
 	p.top = float64(top)
 	p.level.SetTop(p.top)
 }
--- a/auth/auth.go
+++ b/auth/auth.go
@@ -99,17 +99,13 @@
 	return kernel.Refuse(kernel.ReasonNotReady, detail, staleRetryAfter)
 }
 
-// opaque looks up a key that has no public part. A rank of the customer's own
-// replaces that of the route.
+// opaque looks up a key that has no public part.
 func (p *plugin) opaque(s *state.Snapshot, c *kernel.Call, text string) *kernel.Result {
 	customer, ok := s.Config.Opaque[config.DigestKey(text)]
 	if !ok {
 		return kernel.Refuse(kernel.ReasonBadKey, "the key is unknown or withdrawn", 0)
 	}
 	c.Customer = customer
-	if rank, ok := s.Config.Ranks[customer]; ok {
-		c.Priority = rank
-	}
 	return nil
 }
 
--- a/config/config.go
+++ b/config/config.go
@@ -53,7 +53,7 @@
 	Hosts *HostTable
 	// Opaque maps the digests of keys without a public part to customers.
 	Opaque map[KeyDigest]string
-	// Ranks holds the customers whose rank replaces that of the route.
+	// Ranks holds the customers' own ranks; decoded, not used yet.
 	Ranks  map[string]Priority
 	Limits Limits
 	// HealthPaths holds the path of the health check of each service.
--- a/ratelimit/quota/owners.go
+++ b/ratelimit/quota/owners.go
@@ -14,6 +14,7 @@
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
+// Resign gives the partitions back, so that others own them without waiting.
 func (p *Plugin) Resign(ctx context.Context) {
 	p.mu.Lock()
 	held := len(p.tenure.partitions)
--- a/ratelimit/quota/plugin.go
+++ b/ratelimit/quota/plugin.go
@@ -128,7 +128,6 @@
 	return nil
 }
 
-// Resign gives the partitions back, so that others own them without waiting.
 // Tick moves the demands, asks for leases ahead of them and joins the group.
 func (p *Plugin) Tick(now time.Time) {
 	s := p.host.Snapshot()
