Membership tests: counts of appends and reads are atomic

Ruled out: the service itself; both stacks end in testNode.Append, the service holds its locks. Change: testNode.appends and reads are atomic.

--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,8 +62,8 @@
 	due          [4]time.Time
 	version      uint64
 	offset       uint64
-	reads        int
-	appends      int
+	reads        atomic.Int64
+	appends      atomic.Int64
 }
 
 func newFleet(t *testing.T, seed uint64) *fleet {
@@ -206,7 +207,7 @@
 
 // Append implements streamlog.Log.
 func (n *testNode) Append(ctx context.Context, data []byte) (uint64, error) {
-	n.appends++
+	n.appends.Add(1)
 	if hook := n.beforeAppend; hook != nil {
 		n.beforeAppend = nil
 		hook()
@@ -222,7 +223,7 @@
 	if n.noLog {
 		return streamlog.Page{}, errCut
 	}
-	n.reads++
+	n.reads.Add(1)
 	return n.fleet.log.Stream(streamName).Read(ctx, from, limit)
 }
 
--- a/membership/head_test.go
+++ b/membership/head_test.go
@@ -68,7 +68,7 @@
 func TestRelayedContactIsFresh(t *testing.T) {
 	f, relayed := largeFleet(t, 70)
 	for _, n := range relayed {
-		n.reads = 0
+		n.reads.Store(0)
 	}
 	for range 30 {
 		f.run(time.Second)
@@ -79,8 +79,8 @@
 		}
 	}
 	for _, n := range relayed {
-		if n.reads > 0 {
-			t.Errorf("%s read the log %d times", n.member.ID, n.reads)
+		if n.reads.Load() > 0 {
+			t.Errorf("%s read the log %d times", n.member.ID, n.reads.Load())
 		}
 	}
 	f.log.SetFaults(standin.Faults{Down: true})
@@ -149,12 +149,12 @@
 	f.run(staleContact + time.Second)
 	f.nodes[0].down = true
 	for _, n := range f.nodes {
-		n.appends = 0
+		n.appends.Store(0)
 	}
 	f.run(2 * time.Minute)
 	for _, n := range f.nodes {
-		if n.appends > 0 {
-			t.Errorf("%s tried %d appends during the outage", n.member.ID, n.appends)
+		if n.appends.Load() > 0 {
+			t.Errorf("%s tried %d appends during the outage", n.member.ID, n.appends.Load())
 		}
 	}
 	f.log.SetFaults(standin.Faults{})
