--- a/internal/daemontest/daemon.go
+++ b/internal/daemontest/daemon.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -21,6 +22,10 @@
 	startLimit = 40 * time.Second
 	pollEvery  = 20 * time.Millisecond
 	servesLine = `"msg":"node serves"`
+	// userField is the place of the time in user mode behind the name in
+	// proc(5)'s stat; that in system mode follows. Both count clockTick.
+	userField = 11
+	clockTick = 10 * time.Millisecond
 )
 
 // ErrEnded means that a daemon has ended before it served, as it does when
@@ -141,6 +146,32 @@
 	}
 }
 
+// ProcessorTime returns what the latest process has used so far, in user and
+// system mode.
+func (d *Daemon) ProcessorTime() (time.Duration, error) {
+	d.mu.Lock()
+	command := d.command
+	d.mu.Unlock()
+	if command == nil {
+		return 0, ErrEnded
+	}
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", command.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	// The name, in brackets, may hold spaces.
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+	var used time.Duration
+	for _, field := range fields[userField : userField+2] {
+		ticks, err := strconv.Atoi(field)
+		if err != nil {
+			return 0, err
+		}
+		used += time.Duration(ticks) * clockTick
+	}
+	return used, nil
+}
+
 // Kill ends the process and waits for its end.
 func (d *Daemon) Kill() {
 	if d.Signal(syscall.SIGKILL) {
