Quota: requests that wait together all get tokens; comments back at their functions

Cause: the lease asked for when the first request of a customer comes asks for one token; others that come before the answer woke up with nothing and were refused with 429 "the pool is empty" while the pool was full. Ruled out: a new owner's empty pool (it had been owned for a second), the rate (3.4 of 1,000,000 a second asked). Change: the asking goes on, three rounds at most, until each waiting request has a token or the pool is dry. The doc comments that had stayed behind in plugin.go when its functions moved go to their functions. Test: TestRequestsAtOnceAllGetTokens, red before (request 2 of 8).

--- a/ratelimit/quota/bucket.go
+++ b/ratelimit/quota/bucket.go
@@ -149,7 +149,7 @@
 		target += ahead
 	}
 	have := h.leased(now)
-	if have > target/2 || target == 0 {
+	if target == 0 || have >= waiting && have > target/2 {
 		return 0
 	}
 	return target - have
--- a/ratelimit/quota/owners.go
+++ b/ratelimit/quota/owners.go
@@ -32,6 +32,8 @@
 	}
 }
 
+// checkContacts notices whether the node is cut off from the other owners. It
+// reports true when pools have to be given back. p.mu is held.
 func (p *Plugin) checkContacts(now time.Time) bool {
 	cut := p.contacts.mostFail(now)
 	if cut && !p.isolated {
@@ -45,10 +47,12 @@
 	return true
 }
 
+// shunned reports whether the node takes no pools since it is cut off.
 func (p *Plugin) shunned(now time.Time) bool {
 	return p.isolated && now.Sub(p.cutSince) < isolatedMost
 }
 
+// leave gives the partitions back; the node may join again.
 func (p *Plugin) leave() {
 	ctx, stop := context.WithTimeout(context.Background(), joinTimeout)
 	defer stop()
@@ -58,6 +62,8 @@
 	p.host.Announce(nil, 0)
 }
 
+// stands reports whether this node is to own pools: it is among the first
+// nodes in an order that all share, or owners have been missing for a while.
 func (p *Plugin) stands(s *state.Snapshot, now time.Time) bool {
 	if p.shunned(now) {
 		return false
@@ -79,6 +85,7 @@
 	return before < standing
 }
 
+// limited reports whether any customer has a rate.
 func limited(s *state.Snapshot) bool {
 	if s.Config == nil {
 		return false
@@ -91,6 +98,7 @@
 	return false
 }
 
+// reached reports whether a peer, or at least its machine, has answered.
 func reached(ctx context.Context, err error) bool {
 	switch {
 	case err == nil, errors.Is(err, syscall.ECONNREFUSED):
@@ -108,6 +116,8 @@
 	p.mu.Unlock()
 }
 
+// ownerOf returns the owner of a customer's pool by the members' topic, or by
+// its own word if that is of a later term.
 func (p *Plugin) ownerOf(customer string, s *state.Snapshot) (state.PoolOwner, bool) {
 	partition := partitionOf(customer, p.tenure.count)
 	owner, known := s.Pools[partition]
@@ -119,6 +129,7 @@
 	return owner, known
 }
 
+// ownership is the word of a node on the partitions that it owns.
 type ownership struct {
 	Member     state.Member `cbor:"1,keyasint"`
 	Partitions []int        `cbor:"2,keyasint"`
@@ -140,6 +151,8 @@
 	return nil, nil
 }
 
+// tell sends the partitions to all nodes; those that miss it read the members'
+// topic.
 func (p *Plugin) tell(partitions []int, term uint64) {
 	notifier, ok := p.host.Peers.(kernel.Notifier)
 	if !ok || len(partitions) == 0 {
@@ -157,6 +170,7 @@
 	}
 }
 
+// join joins the group or stays in it.
 func (p *Plugin) join() {
 	p.mu.Lock()
 	generation := p.tenure.generation
--- a/ratelimit/quota/plugin.go
+++ b/ratelimit/quota/plugin.go
@@ -51,6 +51,8 @@
 	// askWait bounds the wait of a request for a lease, askTimeout the message.
 	askWait    = 120 * time.Millisecond
 	askTimeout = 400 * time.Millisecond
+	// askRounds bounds the messages for the requests that wait at one time.
+	askRounds = 3
 	// dryPause is how long a pool without tokens isn't asked again.
 	dryPause = 100 * time.Millisecond
 	// joinInterval is the period of joins, termMargin what is kept of a term.
@@ -152,13 +154,7 @@
 	}
 }
 
-// checkContacts notices whether the node is cut off from the other owners. It
-// reports true when pools have to be given back. p.mu is held.
-// shunned reports whether the node takes no pools since it is cut off.
-// leave gives the partitions back; the node may join again.
-// stands reports whether this node is to own pools: it is among the first
-// nodes in an order that all share, or owners have been missing for a while.
-// limited reports whether any customer has a rate.
+// tickHoldings moves the demands and asks for leases ahead of them. p.mu is held.
 func (p *Plugin) tickHoldings(s *state.Snapshot, now time.Time, elapsed time.Duration) {
 	for name, h := range p.holdings {
 		h.tick(elapsed)
@@ -283,20 +279,34 @@
 	p.host.Go(func() { p.ask(h, c, s, want) })
 }
 
+// ask gets tokens for the demand and, until the pool runs dry, for each request
+// that has come to wait meanwhile.
 func (p *Plugin) ask(h *holding, c config.Customer, s *state.Snapshot, want float64) {
-	got, err := p.lease(c, s, want)
+	for range askRounds {
+		got, err := p.lease(c, s, want)
+		if want = p.leased(h, c, s, got, err); want <= 0 {
+			break
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(h.asking)
+	h.asking = nil
+}
+
+// leased takes in the answer to a lease and returns how many tokens are still
+// to be asked for.
+func (p *Plugin) leased(h *holding, c config.Customer, s *state.Snapshot, got float64, err error) float64 {
 	now := p.host.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if got > 0 {
-		h.leases = append(h.leases, lease{tokens: got, expires: now.Add(leaseTerm)})
-	}
+	h.orphan(now, err != nil, c.Rate, max(s.Nodes, 1), p.host.Rand())
 	if err != nil || got < 1 {
 		h.dryUntil = now.Add(dryPause)
+		return 0
 	}
-	h.orphan(now, err != nil, c.Rate, max(s.Nodes, 1), p.host.Rand())
-	close(h.asking)
-	h.asking = nil
+	h.leases = append(h.leases, lease{tokens: got, expires: now.Add(leaseTerm)})
+	return h.want(now, h.waiting)
 }
 
 // lease gets tokens from the owner of the customer's pool.
@@ -319,12 +329,7 @@
 	return answer.Tokens, nil
 }
 
-// reached reports whether a peer, or at least its machine, has answered.
-// ownerOf returns the owner of a customer's pool by the members' topic, or by
-// its own word if that is of a later term.
-// ownership is the word of a node on the partitions that it owns.
-// tell sends the partitions to all nodes; those that miss it read the members'
-// topic.
+// grant takes tokens from a pool that this node owns.
 func (p *Plugin) grant(c config.Customer, want float64) (float64, error) {
 	at, now := boottime.Now(), p.host.Now()
 	p.mu.Lock()
@@ -353,5 +358,3 @@
 	got, err := p.grant(c, r.Want)
 	return leaseAnswer{Tokens: got}, err
 }
-
-// join joins the group or stays in it.
--- a/ratelimit/quota/quota_test.go
+++ b/ratelimit/quota/quota_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/gooseberryflow/gooseberryflow/config"
 	"github.com/gooseberryflow/gooseberryflow/internal/boottime"
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
 const partitions = 8
@@ -185,3 +187,30 @@
 		t.Error("granted from a partition that it doesn't hold")
 	}
 }
+
+// Pattern: several first requests of a customer come to a node at once. The
+// tokens asked for the first one do not do for the others; the pool has enough.
+func TestRequestsAtOnceAllGetTokens(t *testing.T) {
+	const at, rate = 8, 100.0
+	now := time.Unix(1_700_000_000, 0)
+	c := config.Customer{Name: "golf", Rate: rate, Burst: rate}
+	self := state.Member{ID: "n1#1"}
+	s := &state.Snapshot{
+		Config: &config.Config{Customers: []config.Customer{c}},
+		Pools:  map[int]state.PoolOwner{partitionOf(c.Name, partitions): {Member: self, Term: 1}},
+	}
+	p := &Plugin{
+		host:     &kernel.Host{Self: self, Now: func() time.Time { return now }, Rand: func() uint64 { return 0 }},
+		tenure:   newTenure(partitions),
+		holdings: map[string]*holding{},
+	}
+	p.tenure.renew([]int{partitionOf(c.Name, partitions)}, 1, boottime.Now(), now.Add(-time.Second), time.Hour)
+	h := p.holding(c)
+	h.waiting, h.asking = at, make(chan struct{})
+	p.ask(h, c, s, 1)
+	for i := range at {
+		if !h.spend(now) {
+			t.Fatalf("request %d of %d got no token", i+1, at)
+		}
+	}
+}
