Graph admission: what waits counts as load; calls that came too late do not

Run times at the services above rose from 0.2 s to 0.7 s; calls whose deadline was nearer than the mean run time were refused though 36% of the slots there were free, 3505 of 4527 in a second, and counted as offered load: that service's level shut the trees out for 2 s while the leaf was half idle. Change: the level's load has the backlog over 300 ms on top; a call is too late only when less than half of the mean run time is left, and then not offered load.

--- a/admission/graph/doc.go
+++ b/admission/graph/doc.go
@@ -17,7 +17,7 @@
 //
 // Each node beside an instance keeps an admission level: the rank from which
 // on new trees should be refused, moved by an integral controller that holds
-// the occupancy of the slots at a target. Levels below the top go to all nodes
+// the work offered to the slots at a target and works off what waits. Levels below the top go to all nodes
 // in short notices.
 //
 // # Needs
--- a/admission/graph/gate.go
+++ b/admission/graph/gate.go
@@ -16,6 +16,8 @@
 	defaultObjective = time.Second
 	// unknownSlots is assumed while the instance has not told its slots.
 	unknownSlots = 8
+	// shortRun is a short run in units of the mean.
+	shortRun = 0.5
 	// serviceGain is the weight of the latest run in a route's mean run time.
 	serviceGain = 0.05
 	// rejectHold is how long the limit stays reduced after the instance has
@@ -88,23 +90,33 @@
 }
 
 // Offered returns the slot-seconds that calls have asked for since it was last
-// called, in units of the slots.
+// called, in units of the slots. Calls that came too late to end in time are
+// left out: they ask for nothing that a lower level would save.
 func (g *Gate) Offered() float64 {
 	offered := g.offered / float64(g.slots)
 	g.offered = 0
 	return offered
 }
 
+// Backlog returns the time that the instance needs for the calls that wait.
+func (g *Gate) Backlog() time.Duration {
+	var work time.Duration
+	for _, t := range g.queue {
+		work += g.runTimes[t.Route]
+	}
+	return work / time.Duration(g.slots)
+}
+
 // Offer admits, queues or refuses a call; it reports whether it was not
 // refused.
 func (g *Gate) Offer(now time.Time, t *Ticket) bool {
 	run := g.runTimes[t.Route]
-	g.offered += run.Seconds()
 	t.StartBy, t.GiveUp = bounds(now, t, run)
-	if now.Add(run).After(t.Deadline) {
+	if t.latest(run).Before(now) {
 		t.state = stateRefused
 		return false
 	}
+	g.offered += run.Seconds()
 	if g.inFlight < g.Limit(now) && len(g.queue) == 0 {
 		g.start(now, t)
 		return true
@@ -120,6 +132,12 @@
 	return true
 }
 
+// latest returns the latest start from which on the call may still end by its
+// deadline. The mean run time holds what runs wait for calls of their own.
+func (t *Ticket) latest(run time.Duration) time.Time {
+	return t.Deadline.Add(-time.Duration(shortRun * float64(run)))
+}
+
 // bounds returns the latest useful start and the end of the wait.
 func bounds(now time.Time, t *Ticket, run time.Duration) (startBy, giveUp time.Time) {
 	objective := t.Objective
@@ -128,7 +146,7 @@
 	}
 	left := max(objective-run, objective/8)
 	startBy = now.Add(left)
-	latest := t.Deadline.Add(-run)
+	latest := t.latest(run)
 	if t.Begun {
 		return startBy, now.Add(time.Duration(begunPart * float64(latest.Sub(now))))
 	}
--- a/admission/graph/gate_test.go
+++ b/admission/graph/gate_test.go
@@ -128,7 +128,7 @@
 				kept += part / 2
 			}
 		}
-		l.Update(now, offered*tick.Seconds())
+		l.Update(now, offered*tick.Seconds(), 0)
 		if i < 60 {
 			continue
 		}
--- a/admission/graph/level.go
+++ b/admission/graph/level.go
@@ -14,15 +14,18 @@
 	// levelSlope is about the load that admitting one rank more or less makes,
 	// and levelWay the longest time that a change takes to show, with callers
 	// that were refused and come back.
-	levelSlope = 1.2
+	levelSlope = 1.3
 	levelWay   = 1500 * time.Millisecond
+	// backlogDrain is the time within which waiting calls are to be worked off.
+	backlogDrain = 300 * time.Millisecond
 	// loadMax bounds the load that is taken into account.
 	loadMax = 3.0
 )
 
 // Level is the admission level of one instance: new trees with a rank below
-// it are wanted. It follows the offered load and not the queue, since a queue
-// that grows while the level has not yet taken effect would throw it too low.
+// it are wanted. It follows the offered load and the backlog: calls that wait
+// hold up those that their trees would make next, so that an instance with many
+// trees in front of it is offered little more than it carries.
 //
 // While a step is on its way the load still is that of the level before it. So
 // the level goes no further from those of the last levelWay than the loads of
@@ -51,8 +54,8 @@
 }
 
 // Update moves the level by the slot-seconds asked for since the last update,
-// in units of the slots.
-func (l *Level) Update(now time.Time, offered float64) {
+// in units of the slots, and by the time that the waiting calls will take.
+func (l *Level) Update(now time.Time, offered float64, backlog time.Duration) {
 	elapsed := now.Sub(l.updated).Seconds()
 	l.updated = now
 	if elapsed <= 0 {
@@ -60,6 +63,7 @@
 	}
 	load := min(offered/elapsed, loadMax)
 	lowest, highest := l.reach(now, load)
+	load = min(load+backlog.Seconds()/backlogDrain.Seconds(), loadMax)
 	l.value += levelGain * (targetLoad - load) * min(elapsed, 1)
 	l.value = min(max(l.value, lowest, 0), highest, l.top)
 }
--- a/admission/graph/level_test.go
+++ b/admission/graph/level_test.go
@@ -29,7 +29,7 @@
 					then = levels[n]
 				}
 				load := base*min(then/2, 1) + shed*min(max(then-2, 0), 1)
-				level.Update(now, load*tick.Seconds())
+				level.Update(now, load*tick.Seconds(), 0)
 				levels = append(levels, level.Value())
 				if at > settled {
 					worst = max(worst, math.Abs(load-targetLoad))
@@ -48,7 +48,7 @@
 	step := func(length time.Duration, load float64) {
 		for at := time.Duration(0); at < length; at += 50 * time.Millisecond {
 			now = now.Add(50 * time.Millisecond)
-			level.Update(now, load*0.05)
+			level.Update(now, load*0.05, 0)
 		}
 	}
 	step(5*time.Second, 2)
--- a/admission/graph/plugin.go
+++ b/admission/graph/plugin.go
@@ -97,7 +97,7 @@
 		p.gate.Flush()
 	}
 	p.gate.dispatch(now)
-	p.level.Update(now, p.gate.Offered())
+	p.level.Update(now, p.gate.Offered(), p.gate.Backlog())
 	if p.ticks%solveTicks == 0 {
 		p.needs.Tick(now)
 		p.needs.Solve()
