Routing: an instance that rejects calls counts as under pressure

Ruled out: retries at other domains (they succeed when the budget allows). Change: a member's pressure has twice the share of calls that its instance rejected of late on top, forgotten by half in 2 s. Test: TestRejectingInstanceGetsFewCalls; before, all calls went to it.

--- a/routing/doc.go
+++ b/routing/doc.go
@@ -9,7 +9,8 @@
 // Randomized Load Balancing, 2001). Pressure is the number of calls at the
 // member over its concurrency limit: this node's outstanding calls, counted
 // exactly, and those of others as the member's latest answer told, halved for
-// each second of age. The node's own instance is taken if it is under no more
+// each second of age, and a surcharge for the share of calls that its instance
+// has rejected of late. The node's own instance is taken if it is under no more
 // pressure than the better of the two, which saves a hop. At a pressure of 1
 // or more that a report has shown, two members of other failure domains are
 // drawn as well, and the better one is taken if its pressure is lower by a
--- a/routing/eject.go
+++ b/routing/eject.go
@@ -62,6 +62,9 @@
 	if r.Reason == kernel.ReasonDraining {
 		o.drain(now)
 	}
+	if r.Offered {
+		o.offered(r.Outcome == kernel.OutcomeNotRun && r.Reason == kernel.ReasonOverload, now)
+	}
 	switch v, points := judge(r); v {
 	case healthy:
 		o.answered(false)
--- a/routing/owner.go
+++ b/routing/owner.go
@@ -13,6 +13,12 @@
 	// unknownLimit stands for the limit of a member that has not reported.
 	unknownLimit   = 4
 	reportHalfLife = time.Second
+	// rejectGain is the weight of the latest call in the share of calls that the
+	// instance rejects, rejectHalfLife the time in which that share is forgotten
+	// by half, and rejectWeight the pressure that it stands for if it is one.
+	rejectGain     = 1.0 / 16
+	rejectHalfLife = 2 * time.Second
+	rejectWeight   = 2.0
 	drainingFor    = 5 * time.Second
 )
 
@@ -32,6 +38,8 @@
 	reported    atomic.Int64 // Unix ms
 	drainUntil  atomic.Int64 // Unix ms
 
+	rejects    atomic.Uint64 // bits of the moving share of calls rejected
+	rejectedAt atomic.Int64  // Unix ms of the latest call that the share rests on
 	points     atomic.Int64  // of failure in a row
 	errors     atomic.Uint64 // bits of the moving share of answers with an error
 	answers    atomic.Int64  // that the share rests on
@@ -59,8 +67,15 @@
 	o.drainUntil.Store(now.Add(drainingFor).UnixMilli())
 }
 
-// pressure returns the calls at the member in units of its limit.
+// pressure returns the calls at the member in units of its limit, and more
+// for a member whose instance rejects calls: these end at once, so it would
+// look as if it had the most room.
 func (o *owner) pressure(now time.Time) float64 {
+	return o.occupancy(now) + rejectWeight*o.rejectShare(now)
+}
+
+// occupancy returns the calls at the member in units of its limit.
+func (o *owner) occupancy(now time.Time) float64 {
 	own := float64(o.outstanding.Load())
 	limit := o.limit.Load()
 	if limit == 0 {
@@ -91,6 +106,30 @@
 	return now.UnixMilli() >= until && !o.probing.Load()
 }
 
+// rejectShare returns the share of calls that the instance rejected of late.
+func (o *owner) rejectShare(now time.Time) float64 {
+	share := math.Float64frombits(o.rejects.Load())
+	if age := now.UnixMilli() - o.rejectedAt.Load(); age > 0 && share > 0 {
+		share *= math.Exp2(-float64(age) / float64(rejectHalfLife.Milliseconds()))
+	}
+	return share
+}
+
+// offered takes in whether the instance rejected a call. Calls that end at the
+// same moment may miss each other's change.
+func (o *owner) offered(rejected bool, now time.Time) {
+	share := o.rejectShare(now)
+	if !rejected && share == 0 {
+		return
+	}
+	sample := 0.0
+	if rejected {
+		sample = 1
+	}
+	o.rejects.Store(math.Float64bits(share + rejectGain*(sample-share)))
+	o.rejectedAt.Store(now.UnixMilli())
+}
+
 // answered takes an answer into the share of errors.
 func (o *owner) answered(isError bool) {
 	o.answers.Add(1)
