Fewer calls to the store: needs told once, slower retries, no rush at the start

All 83 nodes read tails in their first second; 30 did so again when the two nodes that they asked were turned away by the store; 237 writes were needs whose numbers had moved, which nothing uses; 256 were retries of nodes that the store turned away, each second. Ruled out: polls of the leading nodes (4 a second in all), joins of the nodes that stand for pools. Change: a node follows a topic only after it has looked for others that do; it asks up to five of them within 0.5 s; needs are told only if they name other services than known, spread over some seconds; a record that the store refuses is tried again after up to 3 s (peers pass it on meanwhile); members' records are gathered for 0.7 s; nodes that know few others wait 2 s before they join the group of pools. Tests: TestNeedsThatOthersHaveToldAreNotToldAgain, TestNodesThatStartTogetherWaitBeforeTheyStand.

--- a/admission/graph/needs.go
+++ b/admission/graph/needs.go
@@ -29,8 +29,6 @@
 	needsFloor = 0.2
 	// needsRoutes bounds the routes of runs that are told apart.
 	needsRoutes = 12
-	// movedPart is the relative change that is told at once.
-	movedPart = 1.0 / 3
 	// ridge keeps the regression solvable for routes that hardly run.
 	ridge = 1e-6
 	// runHalf is counted at the start and at the end of a run.
@@ -254,12 +252,12 @@
 	}
 }
 
-// Moved reports whether a need differs from what was exported last by more
-// than a third of it.
+// Moved reports whether other calls are made than those exported last. Their
+// numbers are not told anew: admission goes by the services that a tree reaches.
 func (n *Needs) Moved() bool {
 	for route, calls := range n.needs {
 		for call, k := range calls {
-			if was := float64(n.told[route][call]) / 1000; math.Abs(k-was) > movedPart*k {
+			if k > 0 && n.told[route][call] == 0 {
 				return true
 			}
 		}
--- a/admission/graph/needs_test.go
+++ b/admission/graph/needs_test.go
@@ -128,3 +128,21 @@
 		}
 	}
 }
+
+func TestNeedsThatOthersHaveToldAreNotToldAgain(t *testing.T) {
+	known := state.Needs{"map": {"lookup": 2000}, "lookup": {"feed": 1700}}
+	for name, tc := range map[string]struct {
+		own  state.Needs
+		want bool
+	}{
+		"other numbers":       {state.Needs{"map": {"lookup": 1500}}, true},
+		"no calls, none told": {state.Needs{"feed": {}}, true},
+		"another call":        {state.Needs{"map": {"lookup": 2000, "feed": 1000}}, false},
+		"a call less":         {state.Needs{"map": {}}, false},
+		"a route not told of": {state.Needs{"book": {"lookup": 1000}}, false},
+	} {
+		if got := sameCalls(tc.own, known); got != tc.want {
+			t.Errorf("%s: %v, want %v", name, got, tc.want)
+		}
+	}
+}
--- a/admission/graph/plugin.go
+++ b/admission/graph/plugin.go
@@ -24,6 +24,11 @@
 	// every change is a write to the store that all failure domains read.
 	needsTicks    = 30
 	needsTicksMax = 600
+	// needsSpread is the number of ticks for each node of the service, at most
+	// needsSpreadMax, over which nodes that learn something at the same time tell
+	// it: what others have told by then is not told again.
+	needsSpread    = 2
+	needsSpreadMax = 60
 	// forgetTicks is the number of ticks between two looks for silent members.
 	forgetTicks = 30
 	// solveTicks counts the ticks of an interval of the needs.
@@ -53,6 +58,8 @@
 	// needsDue is the tick from which on needs may be told again, needsWait the
 	// number of ticks between the next two times.
 	needsDue, needsWait int
+	// needsAt is the tick at which they are told; zero if there is nothing to tell.
+	needsAt int
 	// version is that of the configuration that top and services come from.
 	version  uint64
 	top      float64
@@ -114,12 +121,7 @@
 		p.table.forget(now)
 	}
 	clear(p.levels)
-	var needs state.Needs
-	if p.ticks >= p.needsDue && p.needs.Moved() {
-		needs = p.needs.Export()
-		p.needsWait = min(2*p.needsWait, needsTicksMax)
-		p.needsDue = p.ticks + p.needsWait
-	}
+	needs := p.news(s)
 	p.mu.Unlock()
 	if due {
 		p.tell(s, n)
@@ -130,6 +132,29 @@
 	}
 }
 
+// news returns needs that the other nodes should be told, or nil. p.mu is held.
+func (p *Plugin) news(s *state.Snapshot) state.Needs {
+	if p.ticks < p.needsDue || !p.needs.Moved() {
+		p.needsAt = 0
+		return nil
+	}
+	if p.needsAt == 0 {
+		spread := needsSpread * len(s.Service(p.host.Self.Service))
+		p.needsAt = p.ticks + int(p.host.Rand()%uint64(min(spread, needsSpreadMax)+1))
+	}
+	if p.ticks < p.needsAt {
+		return nil
+	}
+	p.needsAt = 0
+	p.needsWait = min(2*p.needsWait, needsTicksMax)
+	p.needsDue = p.ticks + p.needsWait
+	needs := p.needs.Export()
+	if sameCalls(needs, s.Needs) {
+		return nil
+	}
+	return needs
+}
+
 // refresh takes over what a new snapshot changes. p.mu is held.
 func (p *Plugin) refresh(s *state.Snapshot) {
 	if s == p.known {
--- a/admission/graph/table.go
+++ b/admission/graph/table.go
@@ -79,6 +79,22 @@
 	}
 }
 
+// sameCalls reports whether all routes of some needs make the calls that are
+// known of them, whatever their numbers.
+func sameCalls(own, known state.Needs) bool {
+	for route, calls := range own {
+		if len(calls) != len(known[route]) {
+			return false
+		}
+		for call := range calls {
+			if known[route][call] == 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // trees returns the services that the trees of each route reach.
 func trees(needs state.Needs, serviceOf map[string]string) map[string][]string {
 	out := make(map[string][]string, len(needs))
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -21,9 +21,11 @@
 	// former bounds the age of what the leading node of a failure domain tells.
 	configWait  = 700 * time.Millisecond
 	membersWait = 25 * time.Second
-	gatherDelay = 400 * time.Millisecond
-	// writeDelay gathers changes of the own record.
-	writeDelay = 100 * time.Millisecond
+	gatherDelay = 700 * time.Millisecond
+	// writeDelay gathers changes of the own record; writeRetryMax is the longest
+	// pause before a write is tried again, while peers pass the record on.
+	writeDelay    = 100 * time.Millisecond
+	writeRetryMax = 3 * time.Second
 	// askAfter is the age of the own contact from which on peers are asked.
 	askAfter    = 2300 * time.Millisecond
 	askInterval = 400 * time.Millisecond
@@ -57,7 +59,8 @@
 	// or at the peer that passed it on.
 	heard atomic.Int64
 
-	// leading is set while this node reads the store for its failure domain;
+	// leading is set while this node reads the store for its failure domain, not
+	// before it has looked for others that do;
 	// configNext is the end of the configuration's topic as known.
 	leading    atomic.Bool
 	configNext atomic.Uint64
@@ -99,7 +102,6 @@
 // New returns a directory without knowledge.
 func New(o Options) *Directory {
 	d := &Directory{options: o, records: map[string]stored{}, avoid: map[string]time.Time{}, wake: make(chan struct{}, 1)}
-	d.leading.Store(true)
 	d.snapshot.Store((&state.Snapshot{Members: map[state.MemberID]state.Member{}}).Index())
 	return d
 }
@@ -384,7 +386,7 @@
 		wait.For(ctx, writeDelay)
 		for !d.writeOnce(ctx) && ctx.Err() == nil {
 			wait.For(ctx, delay)
-			delay = min(2*delay, retryMax)
+			delay = min(2*delay, writeRetryMax)
 		}
 		delay = retryMin
 	}
--- a/directory/pull.go
+++ b/directory/pull.go
@@ -17,8 +17,10 @@
 	// pullInterval is the time between two pulls. With pullSilence it stays
 	// below the time in which a configuration has to be in force everywhere.
 	pullInterval = 500 * time.Millisecond
-	// pullPeers bounds the peers asked before the store is read.
-	pullPeers = 2
+	// pullPeers and pullTime bound the peers asked before the store is read: the
+	// store may turn away a third of the nodes and more.
+	pullPeers = 5
+	pullTime  = 500 * time.Millisecond
 	// pullSilence is the time without word of the store above which a peer is
 	// passed over: a poll of the leading node, its answer and some delay.
 	pullSilence = time.Second
@@ -41,7 +43,11 @@
 
 // pullPeers reports whether a peer has brought the state up to date.
 func (d *Directory) pullPeers(ctx context.Context) bool {
+	began := time.Now()
 	for _, m := range d.ahead() {
+		if time.Since(began) > pullTime {
+			break
+		}
 		silence, err := d.askOne(ctx, m.member)
 		if err != nil {
 			d.mu.Lock()
--- a/ratelimit/quota/contacts_test.go
+++ b/ratelimit/quota/contacts_test.go
@@ -60,3 +60,17 @@
 		}
 	}
 }
+
+// Pattern: all nodes start at once and know nobody yet. None stands for pools
+// until the others have become known; a node alone stands after that time.
+func TestNodesThatStartTogetherWaitBeforeTheyStand(t *testing.T) {
+	started := time.Unix(1_700_000_000, 0)
+	p := &Plugin{host: &kernel.Host{Self: state.Member{ID: "n1#1"}}, started: started}
+	alone := &state.Snapshot{Members: map[state.MemberID]state.Member{"n1#1": {}}}
+	if p.stands(alone, started.Add(settleTerm/2)) {
+		t.Error("stands before others can be known")
+	}
+	if !p.stands(alone, started.Add(settleTerm)) {
+		t.Error("a node alone doesn't stand")
+	}
+}
--- a/ratelimit/quota/owners.go
+++ b/ratelimit/quota/owners.go
@@ -68,12 +68,13 @@
 	if p.shunned(now) {
 		return false
 	}
-	missing := false
 	for _, h := range p.holdings {
-		missing = missing || h.orphaned && now.Sub(h.orphanedAt) > missingTerm
+		if h.orphaned && now.Sub(h.orphanedAt) > missingTerm {
+			return true
+		}
 	}
-	if missing {
-		return true
+	if len(s.Members) <= standing && now.Sub(p.started) < settleTerm {
+		return false
 	}
 	self := xxhash.Sum64String(p.host.Self.ID.Place())
 	before := 0
--- a/ratelimit/quota/plugin.go
+++ b/ratelimit/quota/plugin.go
@@ -67,6 +67,9 @@
 	// long owners must be missing until others stand as well.
 	standing    = 9
 	missingTerm = 1500 * time.Millisecond
+	// settleTerm is how long a node waits for the others to become known where
+	// no more than standing are: all that start together would join otherwise.
+	settleTerm  = 2 * time.Second
 	termMargin  = 200 * time.Millisecond
 	joinTimeout = 600 * time.Millisecond
 	// idleTerm is how long the holding of a customer without requests is kept.
@@ -89,6 +92,7 @@
 	mu       sync.Mutex // guards what follows
 	tenure   *tenure
 	holdings map[string]*holding
+	started  time.Time
 	ticked   time.Time
 	joined   time.Time
 	joining  bool
@@ -106,7 +110,8 @@
 	p.host = h
 	p.tenure = newTenure(max(h.Pools.Partitions, 1))
 	p.holdings = map[string]*holding{}
-	p.ticked = h.Now()
+	p.started = h.Now()
+	p.ticked = p.started
 	p.contacts = contacts{}
 	p.news = map[int]state.PoolOwner{}
 	kernel.Answer(h.Peers, kindLease, p.onLease)
