Graph admission: notices less often among many nodes

Change: from 48 nodes on the pause grows with the nodes, 0.2 s at 78, 0.4 s from 128 on; a level still holds for 0.6 s. Smaller deployments as before. Test: TestNoticesGrowWithTheNodes.

--- a/admission/graph/level_test.go
+++ b/admission/graph/level_test.go
@@ -4,6 +4,8 @@
 	"math"
 	"testing"
 	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/kernel"
 )
 
 // Pattern: for 18 s a leaf is asked for 1.9 times what it carries
@@ -60,3 +62,17 @@
 		t.Errorf("level %.2f long after the load has gone", level.Value())
 	}
 }
+
+// Pattern: all nodes of a large deployment are under pressure and tell each
+// other (aareflot-sched-grown scale-1, 78 nodes). Up to 128 nodes what one has
+// to read grows no further, and a notice comes within levelTerm of the last.
+func TestNoticesGrowWithTheNodes(t *testing.T) {
+	for nodes, want := range map[int]int{1: 2, 14: 2, 47: 2, 78: 4, 128: 8, 1100: 8} {
+		if got := noticePause(nodes); got != want {
+			t.Errorf("%d nodes: %d ticks, want %d", nodes, got, want)
+		}
+	}
+	if got := noticePause(1100) * int(kernel.TickInterval); got >= int(levelTerm) {
+		t.Errorf("two notices are %s apart, a level holds for %s", time.Duration(got), levelTerm)
+	}
+}
--- a/admission/graph/plugin.go
+++ b/admission/graph/plugin.go
@@ -17,8 +17,12 @@
 
 const (
 	kindNotice = "graph.notice"
-	// noticeTicks is the number of ticks between two notices of the level.
-	noticeTicks = 2
+	// noticeTicks is the least number of ticks between two notices of the level,
+	// noticeNodes the number of nodes for each tick between them: every node
+	// tells every other one. They stay within levelTerm.
+	noticeTicks    = 2
+	noticeTicksMax = 8
+	noticeNodes    = 16
 	// needsTicks is the least number of ticks between two changes of the needs
 	// told, at first; it doubles with each change up to needsTicksMax, since
 	// every change is a write to the store that all failure domains read.
@@ -113,7 +117,7 @@
 	if !p.level.Open() {
 		n.Level = int(p.level.Value() * 1000)
 	}
-	due := n.Level >= 0 && p.ticks%noticeTicks == 0
+	due := n.Level >= 0 && p.ticks%noticePause(len(s.Members)) == 0
 	if due {
 		p.table.take(n, now)
 	}
@@ -132,6 +136,11 @@
 	}
 }
 
+// noticePause returns the number of ticks between two notices among some nodes.
+func noticePause(nodes int) int {
+	return min(max(nodes/noticeNodes, noticeTicks), noticeTicksMax)
+}
+
 // news returns needs that the other nodes should be told, or nil. p.mu is held.
 func (p *Plugin) news(s *state.Snapshot) state.Needs {
 	if p.ticks < p.needsDue || !p.needs.Moved() {
