--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -283,7 +283,7 @@
 func (d *daemon) signal(s syscall.Signal) {
 	d.t.Helper()
 	if err := d.command.Process.Signal(s); err != nil {
-		d.t.Fatalf("signal %v: %v", s, err)
+		d.t.Fatalf("signal %v: %v; process: %v; its log:\n%s", s, err, d.command.ProcessState, d.logText())
 	}
 }
 
