--- a/directory/doc.go
+++ b/directory/doc.go
@@ -36,5 +36,6 @@
 // The leading node of a failure domain has one poll of the configuration and one
 // of the members outstanding, 1/configWait calls a second, whatever the size of
 // the domain. A change reaches the other nodes within pullInterval, and within
-// pullSilence + pullInterval when the leading node has just lost the store.
+// pullSilence + pullInterval + pullTime and one answer to a peer when the leading
+// node has just lost the store.
 package directory
