--- a/admission/graph/level_test.go
+++ b/admission/graph/level_test.go
@@ -66,7 +66,7 @@
 // Pattern: all nodes of a large deployment are under pressure and tell each
 // other (aareflot-sched-grown scale-1, 78 nodes). Up to 128 nodes what one has
 // to read grows no further, and a notice comes within levelTerm of the last.
-func TestNoticesGrowWithTheNodes(t *testing.T) {
+func TestNoticesPauseLongerAmongManyNodes(t *testing.T) {
 	for nodes, want := range map[int]int{1: 2, 14: 2, 47: 2, 78: 4, 128: 8, 1100: 8} {
 		if got := noticePause(nodes); got != want {
 			t.Errorf("%d nodes: %d ticks, want %d", nodes, got, want)
--- a/directory/ask.go
+++ b/directory/ask.go
@@ -19,7 +19,7 @@
 type question struct {
 	Version uint64 `cbor:"1,keyasint"`
 	// Name and Own are the asking node's record, which a peer may not have seen
-	// while the store turned the node away.
+	// while the store refused the node.
 	Name string `cbor:"2,keyasint"`
 	Own  Record `cbor:"3,keyasint"`
 	// MembersNext is the offset from which on records are asked for.
--- a/directory/pull.go
+++ b/directory/pull.go
@@ -18,7 +18,7 @@
 	// below the time in which a configuration has to be in force everywhere.
 	pullInterval = 500 * time.Millisecond
 	// pullPeers and pullTime bound the peers asked before the store is read: the
-	// store may turn away a third of the nodes and more.
+	// store may refuse a third of the nodes and more.
 	pullPeers = 5
 	pullTime  = 500 * time.Millisecond
 	// pullSilence is the time without word of the store above which a peer is
--- a/internal/boundlog/boundlog_test.go
+++ b/internal/boundlog/boundlog_test.go
@@ -51,6 +51,16 @@
 	}
 }
 
+// checkLines compares how often texts stand in the output.
+func checkLines(t *testing.T, out string, want map[string]int) {
+	t.Helper()
+	for text, n := range want {
+		if got := strings.Count(out, text); got != n {
+			t.Errorf("%s: %d lines, want %d", text, got, n)
+		}
+	}
+}
+
 func TestRateOfASecond(t *testing.T) {
 	var out strings.Builder
 	w := NewWriter(&out)
@@ -63,11 +73,7 @@
 	}
 	_ = h.Handle(context.Background(), record(2, slog.LevelInfo, "next second"))
 	w.Close()
-	for text, want := range map[string]int{`"low"`: 10, `"high"`: 15, `"next second"`: 1, `"lines":60`: 1} {
-		if got := strings.Count(out.String(), text); got != want {
-			t.Errorf("%s: %d lines, want %d", text, got, want)
-		}
-	}
+	checkLines(t, out.String(), map[string]int{`"low"`: 10, `"high"`: 15, `"next second"`: 1, `"lines":60`: 1})
 	if h.LeftOut() != 60 {
 		t.Errorf("%d left out, want 60", h.LeftOut())
 	}
@@ -86,11 +92,7 @@
 		_ = h.Handle(context.Background(), slog.NewRecord(time.Unix(1, 0), slog.LevelInfo, "stop", 0))
 	}
 	w.Close()
-	for text, want := range map[string]int{`"refused"`: 10, `"stop"`: 10} {
-		if got := strings.Count(out.String(), text); got != want {
-			t.Errorf("%s: %d lines, want %d", text, got, want)
-		}
-	}
+	checkLines(t, out.String(), map[string]int{`"refused"`: 10, `"stop"`: 10})
 }
 
 // BenchmarkUnderLoad logs from many goroutines far above the rate and reports
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -41,7 +41,7 @@
 // options change what the daemons do, to see checks fail.
 type options struct {
 	plugins       string // the list of plug-ins, as in the settings; empty for all
-	keyWithdrawal string
+	keyWithdrawal time.Duration
 	retryRatio    float64
 	retrySlack    float64
 	rate          int
@@ -50,7 +50,7 @@
 }
 
 func defaultOptions() options {
-	return options{keyWithdrawal: "5s", retryRatio: retryRatio, retrySlack: retrySlack, rate: 120, work: 4 * time.Millisecond}
+	return options{keyWithdrawal: keyWithdrawal, retryRatio: retryRatio, retrySlack: retrySlack, rate: 120, work: 4 * time.Millisecond}
 }
 
 // fleet is the daemons with all around them.
@@ -192,35 +192,13 @@
 
 func (n *node) settingsText() string {
 	o := n.f.options
-	plugins := ""
-	if o.plugins != "" {
-		plugins = "plugins = " + o.plugins
-	}
-	return fmt.Sprintf(`[sidecar]
-name = %q
-service = %q
-failure_domain = %q
-caller_address = %q
-health_address = %q
-heartbeat_address = %q
-metrics_address = %q
-call_address = %q
-advertised_address = %q
-upstream_address = %q
-memory_mb = 256
-log_level = "info"
-stop_timeout = %q
-%s
-[store]
-address = %q
-partitions = %d
-[bounds]
-key_withdrawal = %q
-retry_ratio = %g
-retry_slack = %g
-retry_window = "10s"
-`, n.name, n.service, n.domain, n.callers, n.health, n.control, n.metrics, n.calls, n.toNode.Addr(),
-		n.instance.Address(), stopLimit, plugins, n.toStore.Addr(), partitions, o.keyWithdrawal, o.retryRatio, o.retrySlack)
+	return daemontest.Sidecar{
+		Name: n.name, Service: n.service, Domain: n.domain,
+		Callers: n.callers, Health: n.health, Heartbeats: n.control, Metrics: n.metrics, Calls: n.calls,
+		Advertised: n.toNode.Addr(), Upstream: n.instance.Address(),
+		Plugins: o.plugins, StopTimeout: stopLimit, Store: n.toStore.Addr(), Partitions: partitions,
+		KeyWithdrawal: o.keyWithdrawal, RetryRatio: o.retryRatio, RetrySlack: o.retrySlack,
+	}.Text()
 }
 
 func (n *node) drawFault() standin.Fault {
--- a/soak/mechanisms_test.go
+++ b/soak/mechanisms_test.go
@@ -29,7 +29,7 @@
 			{kind: "rejects", node: 4, lasts: 6 * time.Second}, {kind: "rejects", node: 1, lasts: 6 * time.Second},
 			{kind: "rejects", node: 3, lasts: 6 * time.Second}, {kind: "rejects", node: 5, lasts: 6 * time.Second},
 		}},
-		{"keys of any age", "revoked", func(o *options) { o.keyWithdrawal = "1h" }, []event{
+		{"keys of any age", "revoked", func(o *options) { o.keyWithdrawal = time.Hour }, []event{
 			cut(0), cut(1), cut(2), cut(3), cut(4), cut(5), {kind: "withdraw", at: time.Second},
 		}},
 		{"a stop that is a kill", "stop", func(o *options) {
