Quota: owners that get their pools back after an outage make it known

The logs show a node whose tenure of a partition had lapsed while the store was out; another owned the partition meanwhile, at a later generation, and told all nodes. The first node got it back at generation 23, but renew compared partitions only, so nothing was announced; every node kept the other's word, whose term was later than the members' topic's, and the other answered that it isn't the owner, for ever. Ruled out: slow recovery under load (the state did not change in 15 s, and the refusals name the same owner to the end). Change: renew reports partitions that others may have held meanwhile; they are told, and announced if the tenure had lapsed. A node drops an owner's word when that owner answers with an error, so that the topic decides.

--- a/ratelimit/quota/owners.go
+++ b/ratelimit/quota/owners.go
@@ -130,6 +130,17 @@
 	return owner, known
 }
 
+// dropNews forgets what an owner has told of a customer's pool, so that the
+// members' topic decides.
+func (p *Plugin) dropNews(customer string, owner state.PoolOwner) {
+	partition := partitionOf(customer, p.tenure.count)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if told := p.news[partition]; told.Term == owner.Term && told.Member.ID == owner.Member.ID {
+		delete(p.news, partition)
+	}
+}
+
 // ownership is the word of a node on the partitions that it owns.
 type ownership struct {
 	Member     state.Member `cbor:"1,keyasint"`
@@ -182,7 +193,7 @@
 	partitions, next, err := p.host.Pools.Groups.Join(ctx, p.host.Self.ID.Place(), p.host.Pools.Term, generation)
 	p.mu.Lock()
 	p.joining = false
-	changed := false
+	changed := changeNone
 	if err == nil && !p.resigned && !p.closed && !p.shunned(p.host.Now()) {
 		changed = p.tenure.renew(partitions, next, sent, p.host.Now(), p.host.Pools.Term)
 	}
@@ -191,9 +202,12 @@
 		p.host.Log.Warn("group of pools not joined", "error", err)
 		return
 	}
-	if changed {
-		p.host.Log.Info("pools owned", "partitions", partitions, "generation", next)
+	if changed == changeNone {
+		return
+	}
+	p.host.Log.Info("pools owned", "partitions", partitions, "generation", next)
+	if changed == changeOwner {
 		p.host.Announce(partitions, next)
-		p.tell(partitions, next)
 	}
+	p.tell(partitions, next)
 }
--- a/ratelimit/quota/plugin.go
+++ b/ratelimit/quota/plugin.go
@@ -326,8 +326,12 @@
 	ctx, stop := context.WithTimeout(context.Background(), askTimeout)
 	defer stop()
 	answer, err := kernel.Ask[leaseRequest, leaseAnswer](ctx, p.host.Peers, owner.Member, kindLease, leaseRequest{c.Name, want})
-	p.met(owner.Member.ID, reached(ctx, err))
+	answered := reached(ctx, err)
+	p.met(owner.Member.ID, answered)
 	if err != nil {
+		if answered {
+			p.dropNews(c.Name, owner)
+		}
 		p.host.Log.Debug("no lease", "customer", c.Name, "owner", string(owner.Member.ID), "error", err)
 		return 0, err
 	}
--- a/ratelimit/quota/pools.go
+++ b/ratelimit/quota/pools.go
@@ -25,12 +25,25 @@
 	return &tenure{count: count, partitions: map[int]time.Time{}, pools: map[string]*bucket{}}
 }
 
-// renew takes over the answer to a join that was sent at an instant. It
-// reports whether the partitions have changed. Pools of partitions that were
-// not held all the while begin empty.
-func (t *tenure) renew(partitions []int, generation uint64, sent boottime.Instant, now time.Time, term time.Duration) bool {
+// change tells what others have to learn of a renewed tenure.
+type change int
+
+const (
+	changeNone change = iota
+	// changeTerm: the partitions are the same, but another node may have held
+	// some and may have told of a later term than this node has.
+	changeTerm
+	// changeOwner: the members' topic has to be written as well, since the
+	// partitions differ or the tenure had lapsed.
+	changeOwner
+)
+
+// renew takes over the answer to a join that was sent at an instant. Pools of
+// partitions that were not held all the while begin empty.
+func (t *tenure) renew(partitions []int, generation uint64, sent boottime.Instant, now time.Time, term time.Duration) change {
 	lapsed := sent > t.until
 	changed := len(partitions) != len(t.partitions)
+	passed := generation - t.generation
 	held := map[int]time.Time{}
 	for _, p := range partitions {
 		since, had := t.partitions[p]
@@ -48,7 +61,13 @@
 	}
 	t.partitions, t.generation = held, generation
 	t.until = sent.Add(term - termMargin)
-	return changed
+	switch {
+	case changed || lapsed && passed > 0 && len(held) > 0:
+		return changeOwner
+	case passed > 1 && len(held) > 0:
+		return changeTerm
+	}
+	return changeNone
 }
 
 // partitionOf returns the partition of a customer.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -12,7 +12,7 @@
 
 var (
 	seeds = flag.Int("seeds", 2, "number of seeds that TestSoak plays")
-	first = flag.Uint64("first", 1, "first seed of TestSoak")
+	first = flag.Uint64("first", 2, "first seed of TestSoak")
 	side  = flag.Int("side", 2, "fleets that are played side by side")
 )
 
@@ -28,6 +28,7 @@
 // regressions are the seeds that ever failed, with the cause.
 var regressions = []uint64{
 	119, // killed nodes counted as lost instances, so requests sent by many callers were quarantined
+	1,   // an owner that got its partitions back after the store was out told nobody
 }
 
 // TestSoak plays schedules of faults drawn from seeds against whole fleets.
