--- a/retry/plugin.go
+++ b/retry/plugin.go
@@ -60,7 +60,7 @@
 func (p *Plugin) serve(ctx context.Context, c *kernel.Call, next kernel.Handler) *kernel.Result {
 	budget := p.budget(c.Service)
 	budget.first()
-	r, allowance := attempt(ctx, c, c.ID, c.Allowance, next)
+	r, allowance := p.attempt(ctx, c, c.ID, c.Allowance, next)
 	for moves := 0; ; {
 		free := p.moves(ctx, c, r, moves)
 		if !free && !p.again(ctx, c, r, allowance, budget) {
@@ -71,7 +71,7 @@
 			moves++
 			lent = allowance
 		}
-		repeat, rest := attempt(ctx, c, p.newID(), lent, next)
+		repeat, rest := p.attempt(ctx, c, p.newID(), lent, next)
 		if nowhere(repeat) {
 			if !free {
 				budget.refund()
@@ -95,7 +95,7 @@
 	defer p.mu.Unlock()
 	s := p.services[service]
 	if s == nil {
-		s = newServiceBudget(b, max(p.host.Snapshot().Nodes, 1), p.host.Now())
+		s = newServiceBudget(b, max(p.host.Snapshot().Nodes, 1), p.host.Now(), p.host.Rand)
 		p.services[service] = s
 	}
 	return s
@@ -122,9 +122,14 @@
 }
 
 // attempt runs one attempt and returns its result with the allowance left.
-func attempt(ctx context.Context, c *kernel.Call, id kernel.CallID, allowance int, next kernel.Handler) (*kernel.Result, int) {
+// Where services have budgets, nested calls bring an allowance of their own and
+// nothing is lent to them.
+func (p *Plugin) attempt(ctx context.Context, c *kernel.Call, id kernel.CallID, allowance int, next kernel.Handler) (*kernel.Result, int) {
 	allowance = max(allowance, 0)
 	keep := kept(c, allowance)
+	if p.host.Retries.Ratio > 0 {
+		keep = allowance
+	}
 	try := *c
 	try.ID = id
 	try.Allowance = allowance - keep
