--- a/retry/doc.go
+++ b/retry/doc.go
@@ -33,6 +33,11 @@
 // with such failures the retries keep to the allowance and the attempts to the
 // number of calls times one more than the allowance.
 //
-// Limits: an upstream that repeats nested calls itself is bounded only by the
+// Where services have budgets (kernel.RetryBounds) each of these bounds the
+// repeats at one service, nested calls bring their own allowance, and nothing
+// is lent.
+//
+// Limits: calls that a repeated run makes are not charged to the budget of the
+// service called; the part of the budget left free stands for them. An upstream that repeats nested calls itself is bounded only by the
 // admission of each call, not by the allowance.
 package retry
