--- a/retry/doc.go
+++ b/retry/doc.go
@@ -38,6 +38,7 @@
 // is lent.
 //
 // Limits: calls that a repeated run makes are not charged to the budget of the
-// service called; the part of the budget left free stands for them. An upstream that repeats nested calls itself is bounded only by the
-// admission of each call, not by the allowance.
+// service called; the part of the budget left free stands for them. An upstream
+// that repeats nested calls itself is bounded only by the admission of each
+// call, not by the allowance.
 package retry
