Retry: the budget of a service keeps to its bound after a time of calm

Cause: every node saved up to six tokens, whatever its part of the slack, and a part of the slack of less than one was rounded up to one. Ruled out: the part for first attempts, which is within its 0.6. Change: earned tokens lose half in 3.5 s besides the cap of five, saved slack keeps to the node's part, and a node with a part of a token draws for it and spends it either way.

--- a/retry/plugin.go
+++ b/retry/plugin.go
@@ -95,7 +95,7 @@
 	defer p.mu.Unlock()
 	s := p.services[service]
 	if s == nil {
-		s = newServiceBudget(b, max(p.host.Snapshot().Nodes, 1), p.host.Now())
+		s = newServiceBudget(b, max(p.host.Snapshot().Nodes, 1), p.host.Now(), p.host.Rand)
 		p.services[service] = s
 	}
 	return s
--- a/retry/service.go
+++ b/retry/service.go
@@ -1,18 +1,25 @@
 package retry
 
 import (
+	"math"
 	"sync"
 	"time"
 
 	"github.com/gooseberryflow/gooseberryflow/kernel"
 )
 
-// budgetPart is the part of the fleet's bounds that nodes use, so that what
-// nodes count at different moments stays within them.
-const budgetPart = 0.6
-
-// savedMax bounds the tokens from first attempts that outlive a tick.
-const savedMax = 5
+const (
+	// budgetPart is the part of the fleet's bounds that nodes use, so that what
+	// nodes count at different moments stays within them.
+	budgetPart = 0.6
+	// earnedHalfLife is the age at which half of what first attempts have earned
+	// is forgotten, so that no more than five seconds' worth is saved, half of a
+	// window; earnedMax bounds it too.
+	earnedHalfLife = 3500 * time.Millisecond
+	earnedMax      = 5.0
+	// slackPart is the part of the slack that a node spends or saves at most.
+	slackPart = 0.5
+)
 
 // budget bounds the repeated attempts at a service.
 type budget interface {
@@ -25,51 +32,61 @@
 // slowly, by the node's part of the slack.
 type serviceBudget struct {
 	bounds kernel.RetryBounds
+	rand   func() uint64
 
 	mu     sync.Mutex
-	tokens float64
+	earned float64 // tokens from first attempts
+	saved  float64 // tokens from the slack
 	nodes  float64
 	ticked time.Time
 }
 
-func newServiceBudget(b kernel.RetryBounds, nodes int, now time.Time) *serviceBudget {
-	s := &serviceBudget{bounds: b, nodes: float64(nodes), ticked: now}
-	s.tokens = s.slack() / 2
+func newServiceBudget(b kernel.RetryBounds, nodes int, now time.Time, rand func() uint64) *serviceBudget {
+	s := &serviceBudget{bounds: b, rand: rand, nodes: float64(nodes), ticked: now}
+	s.saved = s.slack()
 	return s
 }
 
 // slack is the node's part of the attempts in a window beyond the ratio.
-func (s *serviceBudget) slack() float64 { return budgetPart * s.bounds.Slack / s.nodes }
+func (s *serviceBudget) slack() float64 { return slackPart * budgetPart * s.bounds.Slack / s.nodes }
 
 func (s *serviceBudget) first() {
 	s.mu.Lock()
-	s.tokens += budgetPart * s.bounds.Ratio
+	s.earned += budgetPart * s.bounds.Ratio
 	s.mu.Unlock()
 }
 
+// spend takes one token. A node that has only a part of one draws for it and
+// spends the part either way, so that many nodes with little traffic make use of
+// their parts and stay within the sum of them.
 func (s *serviceBudget) spend() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.tokens < 1 {
-		return false
+	have := s.earned + s.saved
+	if have < 1 {
+		s.earned, s.saved = 0, 0
+		return float64(s.rand()>>11)/(1<<53) < have
+	}
+	s.earned--
+	if s.earned < 0 {
+		s.earned, s.saved = 0, s.saved+s.earned
 	}
-	s.tokens--
 	return true
 }
 
 func (s *serviceBudget) refund() {
 	s.mu.Lock()
-	s.tokens++
+	s.earned++
 	s.mu.Unlock()
 }
 
-// tick adds the node's part of the slack and drops tokens saved beyond the bound.
+// tick adds the node's part of the slack and forgets what was earned long ago.
 func (s *serviceBudget) tick(now time.Time, nodes int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nodes = float64(nodes)
 	elapsed := now.Sub(s.ticked).Seconds()
 	s.ticked = now
-	s.tokens += s.slack() / 2 * elapsed / s.bounds.Window.Seconds()
-	s.tokens = min(s.tokens, max(s.slack()/2, 1)+savedMax)
+	s.earned = min(s.earned*math.Exp2(-elapsed/earnedHalfLife.Seconds()), earnedMax)
+	s.saved = min(s.saved+s.slack()*elapsed/s.bounds.Window.Seconds(), s.slack())
 }
