--- a/admission/graph/doc.go
+++ b/admission/graph/doc.go
@@ -17,15 +17,16 @@
 //
 // Each node beside an instance keeps an admission level: the rank from which
 // on new trees should be refused, moved by an integral controller that holds
-// the work offered to the slots at a target and works off what waits. Levels below the top go to all nodes
-// in short notices.
+// the work offered to the slots at a target and works off what waits. Levels
+// below the top go to all nodes in short notices.
 //
 // # Needs
 //
 // A node also learns how many calls, and on which routes, one run on each of
 // its instance's routes makes: calls are regressed on runs in each
-// interval by least squares over the time that runs were in flight. Needs go
-// out with the notices, less often.
+// interval by least squares. Needs are kept in the members' topic, so that a
+// new process begins with those of its predecessors; one that was told stays
+// until the runs show that it is gone.
 //
 // # Entry
 //
--- a/admission/graph/needs.go
+++ b/admission/graph/needs.go
@@ -226,7 +226,8 @@
 	}
 }
 
-// deny takes in the most calls that a run may make.
+// deny notes that a need told is gone if even the most calls that a run may make,
+// by the regression's error, are far below it.
 func (n *Needs) deny(route, call string, most float64) {
 	if told := float64(n.told[route][call]) / 1000; told == 0 || most >= deniedPart*told {
 		return
@@ -247,8 +248,8 @@
 	return n.calls[call] == nil || n.denied[route][call]
 }
 
-// trusted reports whether what this node has learnt of a route counts: nothing
-// is known of it, or there is enough to say otherwise.
+// trusted reports whether what this node has learnt of a route counts: neither it
+// nor an earlier process has told of the route, or it has seen enough since.
 func (n *Needs) trusted(route string) bool {
 	_, told := n.told[route]
 	return !told && !n.recalled || n.weight >= needsTrust
--- a/internal/boundlog/boundlog_test.go
+++ b/internal/boundlog/boundlog_test.go
@@ -61,17 +61,20 @@
 	}
 }
 
+// handle logs a record some times.
+func handle(h slog.Handler, times int, r slog.Record) {
+	for range times {
+		_ = h.Handle(context.Background(), r)
+	}
+}
+
 func TestRateOfASecond(t *testing.T) {
 	var out strings.Builder
 	w := NewWriter(&out)
 	h := NewHandler(slog.NewJSONHandler(w, nil), w, 10)
-	for range 25 {
-		_ = h.Handle(context.Background(), record(1, slog.LevelInfo, "low"))
-	}
-	for range 60 {
-		_ = h.Handle(context.Background(), record(1, slog.LevelWarn, "high"))
-	}
-	_ = h.Handle(context.Background(), record(2, slog.LevelInfo, "next second"))
+	handle(h, 25, record(1, slog.LevelInfo, "low"))
+	handle(h, 60, record(1, slog.LevelWarn, "high"))
+	handle(h, 1, record(2, slog.LevelInfo, "next second"))
 	w.Close()
 	checkLines(t, out.String(), map[string]int{`"low"`: 10, `"high"`: 15, `"next second"`: 1, `"lines":60`: 1})
 	if h.LeftOut() != 60 {
@@ -85,12 +88,8 @@
 	var out strings.Builder
 	w := NewWriter(&out)
 	h := NewHandler(slog.NewJSONHandler(w, nil), w, 10)
-	for range 500 {
-		_ = h.Handle(context.Background(), record(1, slog.LevelInfo, "refused"))
-	}
-	for range 25 {
-		_ = h.Handle(context.Background(), slog.NewRecord(time.Unix(1, 0), slog.LevelInfo, "stop", 0))
-	}
+	handle(h, 500, record(1, slog.LevelInfo, "refused"))
+	handle(h, 25, slog.NewRecord(time.Unix(1, 0), slog.LevelInfo, "stop", 0))
 	w.Close()
 	checkLines(t, out.String(), map[string]int{`"refused"`: 10, `"stop"`: 10})
 }
--- a/ratelimit/quota/pools.go
+++ b/ratelimit/quota/pools.go
@@ -25,7 +25,7 @@
 	return &tenure{count: count, partitions: map[int]time.Time{}, pools: map[string]*bucket{}}
 }
 
-// change tells what others have to learn of a renewed tenure.
+// change tells what the other nodes have to be told of a renewed tenure.
 type change int
 
 const (
--- a/retry/service.go
+++ b/retry/service.go
@@ -12,9 +12,9 @@
 	// budgetPart is the part of the fleet's bounds that nodes use, so that what
 	// nodes count at different moments stays within them.
 	budgetPart = 0.6
-	// earnedHalfLife is the age at which half of what first attempts have earned
-	// is forgotten, so that no more than five seconds' worth is saved, half of a
-	// window; earnedMax bounds it too.
+	// earnedHalfLife is the age at which half of the tokens that first attempts have
+	// earned is dropped: at a steady rate five seconds' worth is saved, half of a
+	// window. earnedMax bounds the saved tokens of a node.
 	earnedHalfLife = 3500 * time.Millisecond
 	earnedMax      = 5.0
 	// slackPart is the part of the slack that a node spends or saves at most.
