Pipeline: requests of one connection run side by side

Cause: net/http's server starts the second request of a connection when the first answer is out. The server also stops watching a connection once a byte of a next request has arrived, so a caller that left was not seen. Ruled out: taking a connection over only when a second request shows (the server's buffer hides it, and both ways would have to be kept); side by side behind a request that runs alone (it would have to wait for no reason). Change: package pipeline. net/http's server accepts and reads the first head; then one goroutine reads ahead with net/http's parser, answers leave in order, only the last answer due closes, a caller's leaving cancels all. Heads that two readers could split differently are rejected. Bodies have a budget in bytes, and what has no room in it is refused unread. A planned stop waits for what was accepted up to the closing of the last connection, not 200 ms. A handler that panics, also of a message between nodes, no longer ends the process.

--- a/kernel/call.go
+++ b/kernel/call.go
@@ -145,6 +145,7 @@
 	ReasonNoRoute      Reason = "no-route"
 	ReasonBadRequest   Reason = "bad-request"
 	ReasonTooLarge     Reason = "too-large"
+	ReasonHeadTooLarge Reason = "head-too-large"
 	ReasonRate         Reason = "rate"
 	ReasonOverload     Reason = "overload"
 	ReasonDeadline     Reason = "deadline"
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -6,10 +6,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/gooseberryflow/gooseberryflow/internal/workers"
 	"github.com/gooseberryflow/gooseberryflow/kernel"
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
@@ -21,10 +23,14 @@
 	ErrConnLost = errors.New("connection to peer lost")
 	// ErrRemote wraps an error text returned by the peer's handler.
 	ErrRemote = errors.New("peer refused message")
+	// errHandler is told to the sender of a message whose handler panicked.
+	errHandler = errors.New("internal error")
 )
 
 const (
 	readBufferBytes = 4 << 10
+	// idleWorkers bounds the goroutines that wait for further messages.
+	idleWorkers = 16
 
 	// A connection on which answers are due and nothing has arrived for
 	// silentProbe checks is probed, and ended after silentLimit checks. Checks
@@ -35,6 +41,9 @@
 	silentLimit   = 4
 )
 
+// messageWorkers serves the messages of all connections of the process.
+var messageWorkers = workers.New(idleWorkers)
+
 // handlerFunc serves one request frame.
 type handlerFunc func(ctx context.Context, kind string, from state.MemberID, body []byte) ([]byte, error)
 
@@ -176,10 +185,22 @@
 	case frameNotice:
 		// Notices are handled in order, on the reading goroutine; their handlers
 		// must not block.
-		_, _ = c.handle(context.Background(), f.Kind, f.From, f.Body)
+		_, _ = c.handleSafely(context.Background(), f)
 	}
 }
 
+// handleSafely keeps a handler that panics on a message from ending the
+// process; the sender gets an error.
+func (c *conn) handleSafely(ctx context.Context, f *frame) (body []byte, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			slog.Error("message handling panicked", "kind", f.Kind, "from", string(f.From), "cause", fmt.Sprint(cause))
+			body, err = nil, errHandler
+		}
+	}()
+	return c.handle(ctx, f.Kind, f.From, f.Body)
+}
+
 // notify sends a message that has no answer.
 func (c *conn) notify(kind string, body []byte) {
 	buf, err := encodeFrame(&frame{Type: frameNotice, Kind: kind, Body: body})
@@ -254,9 +275,9 @@
 	}
 	c.serving[f.ID] = stop
 	c.mu.Unlock()
-	messageWorkers.run(func() {
+	messageWorkers.Run(func() {
 		defer c.served(f.ID, stop)
-		body, err := c.handle(ctx, f.Kind, f.From, f.Body)
+		body, err := c.handleSafely(ctx, f)
 		if !c.ended() {
 			c.answer(f.ID, body, err)
 		}
--- /dev/null
+++ b/pipeline/memory_test.go
@@ -0,0 +1,76 @@
+package pipeline
+
+import (
+	"bufio"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// idleConnections is the number of connections that BenchmarkIdleConnection keeps.
+const idleConnections = 1000
+
+// BenchmarkIdleConnection measures the memory of a connection that has been
+// answered once, both ends without the caller's buffer, and of the same behind
+// net/http's server alone.
+func BenchmarkIdleConnection(b *testing.B) {
+	answer := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }
+	servers := map[string]interface {
+		Serve(net.Listener) error
+		Close() error
+	}{
+		"net/http": &http.Server{Handler: http.HandlerFunc(answer)},
+		"pipeline": NewServer(Options{
+			Handler: &script{started: make(chan string, 2*idleConnections)}, ReadAhead: 4, HeadBytes: 4 << 10, Bodies: NewBudget(4 << 10),
+			HeadTimeout: time.Minute, BodyTimeout: time.Minute, IdleTimeout: time.Minute, WriteTimeout: time.Minute,
+			Log: slog.New(slog.DiscardHandler),
+		}),
+	}
+	for name, s := range servers {
+		b.Run(name, func(b *testing.B) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			go func() { _ = s.Serve(l) }()
+			before := memory()
+			conns := make([]net.Conn, 0, idleConnections)
+			for range idleConnections {
+				conns = append(conns, answeredOnce(b, l.Addr().String()))
+			}
+			b.ReportMetric(float64(memory()-before)/idleConnections, "B/connection")
+			for _, c := range conns {
+				_ = c.Close()
+			}
+			_ = s.Close()
+		})
+	}
+}
+
+func answeredOnce(b *testing.B, address string) net.Conn {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if _, err := io.WriteString(c, get("/a")); err != nil {
+		b.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return c
+}
+
+func memory() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
--- /dev/null
+++ b/pipeline/server_test.go
@@ -0,0 +1,561 @@
+package pipeline
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// waitLimit bounds every wait; no test asserts how long one takes.
+const waitLimit = 20 * time.Second
+
+// script is a handler: a request's path says how it is served. /wait/N ends
+// when N is released, /alone/... runs alone, /refuse is refused, /close/...
+// closes, /panic panics; others are answered with method, path and body.
+type script struct {
+	started   chan string
+	cancelled chan string
+	mu        sync.Mutex
+	gates     map[string]chan struct{}
+}
+
+func (s *script) gate(path string) chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gates[path] == nil {
+		s.gates[path] = make(chan struct{})
+	}
+	return s.gates[path]
+}
+
+func (s *script) Accept(r *http.Request, _ time.Time) (*Exchange, *Response) {
+	if r.URL.Path == "/refuse" {
+		return nil, text(http.StatusServiceUnavailable, "refused", true)
+	}
+	serve := func(ctx context.Context, body []byte) *Response {
+		s.started <- r.RequestURI
+		switch {
+		case strings.Contains(r.URL.Path, "/wait/"):
+			select {
+			case <-s.gate(r.RequestURI):
+			case <-ctx.Done():
+				s.cancelled <- r.RequestURI
+			}
+		case r.URL.Path == "/panic":
+			panic("unexpected")
+		}
+		return text(http.StatusOK, r.Method+" "+r.RequestURI+" "+string(body), strings.HasPrefix(r.URL.Path, "/close"))
+	}
+	return &Exchange{Alone: strings.HasPrefix(r.URL.Path, "/alone"), BodyBytes: 1 << 10, Serve: serve}, nil
+}
+
+func (s *script) Refuse(_ *http.Request, cause Cause) *Response {
+	status := map[Cause]int{
+		CauseMalformed: 400, CauseHeadSize: 431, CauseBodySize: 413, CauseNoRoom: 503, CauseFailed: 502,
+	}[cause]
+	return text(status, "", true)
+}
+
+func text(status int, body string, closing bool) *Response {
+	return &Response{Status: status, Header: http.Header{}, Body: []byte(body), Close: closing}
+}
+
+type rig struct {
+	*testing.T
+	*script
+	server  *Server
+	address string
+}
+
+func newRig(t *testing.T) *rig { return newRigWith(t, 4<<10) }
+
+func newRigWith(t *testing.T, bodyBytes int64) *rig {
+	s := &script{started: make(chan string, 100), cancelled: make(chan string, 100), gates: map[string]chan struct{}{}}
+	r := &rig{T: t, script: s, server: NewServer(Options{
+		Handler: s, ReadAhead: 4, HeadBytes: 4 << 10, Bodies: NewBudget(bodyBytes),
+		HeadTimeout: time.Minute, BodyTimeout: time.Minute, IdleTimeout: time.Minute, WriteTimeout: time.Minute,
+		Log: slog.New(slog.DiscardHandler),
+	})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.address = l.Addr().String()
+	ended := make(chan error, 1)
+	go func() { ended <- r.server.Serve(l) }()
+	t.Cleanup(func() {
+		_ = r.server.Close()
+		if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+			t.Error(err)
+		}
+	})
+	return r
+}
+
+// caller is one raw connection.
+type caller struct {
+	*testing.T
+	net.Conn
+	in *bufio.Reader
+}
+
+func (r *rig) dial() *caller {
+	r.Helper()
+	nc, err := net.Dial("tcp", r.address)
+	if err != nil {
+		r.Fatal(err)
+	}
+	_ = nc.SetDeadline(time.Now().Add(waitLimit))
+	r.Cleanup(func() { _ = nc.Close() })
+	return &caller{r.T, nc, bufio.NewReader(nc)}
+}
+
+func (c *caller) send(text string) {
+	c.Helper()
+	if _, err := io.WriteString(c.Conn, text); err != nil {
+		c.Fatal(err)
+	}
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+// expect reads an answer and compares its status and body; a body of "*" is
+// not compared.
+func (c *caller) expect(status int, body string) *http.Response {
+	c.Helper()
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		c.Fatalf("want %d %q: %v", status, body, err)
+	}
+	got, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != status || body != "*" && string(got) != body {
+		c.Fatalf("got %d %q (%v), want %d %q", resp.StatusCode, got, err, status, body)
+	}
+	return resp
+}
+
+func (c *caller) expectEnd() {
+	c.Helper()
+	if b, err := c.in.ReadByte(); !errors.Is(err, io.EOF) {
+		c.Fatalf("byte %q, error %v, want the end of the connection", b, err)
+	}
+}
+
+func (r *rig) await(what chan string, want ...string) {
+	r.Helper()
+	missing := map[string]bool{}
+	for _, w := range want {
+		missing[w] = true
+	}
+	for len(missing) > 0 {
+		select {
+		case got := <-what:
+			if !missing[got] {
+				r.Fatalf("%s, want one of %v", got, missing)
+			}
+			delete(missing, got)
+		case <-time.After(waitLimit):
+			r.Fatalf("missing: %v", missing)
+		}
+	}
+}
+
+func (r *rig) release(path string) { close(r.gate(path)) }
+
+func (r *rig) eventually(what string, f func() bool) {
+	r.Helper()
+	for limit := time.Now().Add(waitLimit); !f(); time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			r.Fatal("not so: ", what)
+		}
+	}
+}
+
+// Pattern: callers send further requests before the first is answered
+// (crampon-bv quiet-1). They run side by side; the answers keep the order.
+func TestPipelinedRequestsRunSideBySide(t *testing.T) {
+	for _, together := range []bool{true, false} {
+		r := newRig(t)
+		c := r.dial()
+		if together {
+			c.send(get("/wait/0") + get("/wait/1") + get("/2"))
+		} else {
+			c.send(get("/wait/0"))
+			r.await(r.started, "/wait/0")
+			c.send("GET /wait/1 HTTP/1.1\r\nHo")
+			c.send("st: h\r\n\r\n" + get("/2"))
+		}
+		want := []string{"/wait/0", "/wait/1", "/2"}
+		if !together {
+			want = want[1:]
+		}
+		r.await(r.started, want...)
+		r.release("/wait/1")
+		r.release("/wait/0")
+		c.expect(200, "GET /wait/0 ")
+		c.expect(200, "GET /wait/1 ")
+		c.expect(200, "GET /2 ")
+	}
+}
+
+// A request that must not be repeated waits for all before it, and those behind
+// it don't.
+func TestAloneWaits(t *testing.T) {
+	r := newRig(t)
+	c := r.dial()
+	c.send(get("/wait/0") + get("/alone/1") + get("/2"))
+	r.await(r.started, "/wait/0", "/2")
+	select {
+	case p := <-r.started:
+		t.Fatalf("%s started beside another", p)
+	default:
+	}
+	r.release("/wait/0")
+	r.await(r.started, "/alone/1")
+	for _, want := range []string{"GET /wait/0 ", "GET /alone/1 ", "GET /2 "} {
+		c.expect(200, want)
+	}
+}
+
+// A caller leaves while bytes of a next request, whole or not, have arrived:
+// everything that runs for it is cancelled, and what waits never runs.
+func TestLeavingIsSeenBehindFurtherRequests(t *testing.T) {
+	for _, more := range []string{"", "GET /half HT", get("/wait/1"), get("/alone/1")} {
+		r := newRig(t)
+		c := r.dial()
+		c.send(get("/wait/0") + more)
+		want := []string{"/wait/0"}
+		if more == get("/wait/1") {
+			want = append(want, "/wait/1")
+		}
+		r.await(r.started, want...)
+		_ = c.Close()
+		r.await(r.cancelled, want...)
+		r.eventually("the connection is forgotten", func() bool { return r.server.Open() == 0 })
+		if len(r.started) > 0 {
+			t.Errorf("%q: %s ran after the caller had left", more, <-r.started)
+		}
+	}
+}
+
+// A refusal would close the connection; with requests behind it, it doesn't.
+func TestClosingAnswerIsTheLast(t *testing.T) {
+	r := newRig(t)
+	c := r.dial()
+	c.send(get("/wait/0") + get("/refuse") + get("/wait/2"))
+	r.await(r.started, "/wait/0", "/wait/2")
+	r.release("/wait/0")
+	c.expect(200, "GET /wait/0 ")
+	if resp := c.expect(503, "refused"); resp.Close {
+		t.Error("the refusal closes a connection on which a request runs")
+	}
+	r.release("/wait/2")
+	c.expect(200, "GET /wait/2 ")
+	c.send(get("/refuse") + get("/3"))
+	c.expect(503, "refused")
+	if resp, err := http.ReadResponse(c.in, nil); err == nil && resp.StatusCode != 200 {
+		t.Errorf("status %d behind a refusal", resp.StatusCode)
+	}
+}
+
+// Nothing runs behind an answer that has closed the connection.
+func TestNothingRunsBehindTheLastAnswer(t *testing.T) {
+	r := newRig(t)
+	c := r.dial()
+	c.send("GET /close HTTP/1.1\r\nHost: h\r\n\r\n")
+	if resp := c.expect(200, "GET /close "); !resp.Close {
+		t.Error("the answer doesn't close")
+	}
+	r.await(r.started, "/close")
+	_, _ = io.WriteString(c.Conn, get("/behind"))
+	c.expectEnd()
+	r.eventually("the connection is forgotten", func() bool { return r.server.Open() == 0 })
+	if len(r.started) > 0 {
+		t.Error("a request ran behind the last answer")
+	}
+}
+
+func TestReadAheadIsBounded(t *testing.T) {
+	r := newRig(t)
+	c := r.dial()
+	for i := range 6 {
+		c.send(get(fmt.Sprintf("/wait/%d", i)))
+	}
+	r.await(r.started, "/wait/0", "/wait/1", "/wait/2", "/wait/3")
+	if len(r.started) > 0 {
+		t.Error("more requests than the bound are open")
+	}
+	for i := range 6 {
+		r.release(fmt.Sprintf("/wait/%d", i))
+		c.expect(200, fmt.Sprintf("GET /wait/%d ", i))
+	}
+}
+
+func TestBodies(t *testing.T) {
+	cases := map[string]struct {
+		sent   string
+		status int
+		body   string
+	}{
+		"length":           {"Content-Length: 3\r\n\r\nabc", 200, "POST /b abc"},
+		"empty":            {"Content-Length: 0\r\n\r\n", 200, "POST /b "},
+		"chunks":           {"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n", 200, "POST /b abc"},
+		"trailers":         {"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX: y\r\n\r\n", 200, "POST /b a"},
+		"too long":         {"Content-Length: 2000\r\n\r\n", 413, ""},
+		"too many chunks":  {"Transfer-Encoding: chunked\r\n\r\n7d0\r\n" + strings.Repeat("x", 2000) + "\r\n0\r\n\r\n", 413, ""},
+		"malformed chunks": {"Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400, ""},
+		"bad chunk end":    {"Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n0\r\n\r\n", 400, ""},
+	}
+	for name, c := range cases {
+		for _, first := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s first=%v", name, first), func(t *testing.T) {
+				r := newRigWith(t, 64<<10)
+				conn := r.dial()
+				if !first {
+					conn.send(get("/before"))
+					conn.expect(200, "GET /before ")
+				}
+				conn.send("POST /b HTTP/1.1\r\nHost: h\r\n" + c.sent)
+				conn.expect(c.status, c.body)
+				if c.status == 200 {
+					conn.send(get("/next"))
+					conn.expect(200, "GET /next ")
+				} else {
+					conn.expectEnd()
+				}
+				r.eventually("no bytes are held", func() bool { return r.server.options.Bodies.Held() == 0 })
+			})
+		}
+	}
+}
+
+// Pattern: a burst of uploads on machines with little memory (crampon-bv-grown,
+// 184 MB). What has no room is refused before its body is read.
+func TestBodiesBeyondTheBudgetAreRefusedUnread(t *testing.T) {
+	r := newRig(t)
+	upload := func(path string) string {
+		return "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n"
+	}
+	body := strings.Repeat("x", 1000)
+	var open []*caller
+	for i := range 4 {
+		c := r.dial()
+		c.send(upload(fmt.Sprintf("/wait/%d", i)) + body)
+		open = append(open, c)
+		r.await(r.started, fmt.Sprintf("/wait/%d", i))
+	}
+	c := r.dial()
+	c.send(upload("/more")) // no byte of the body
+	c.expect(503, "")
+	for i, o := range open {
+		r.release(fmt.Sprintf("/wait/%d", i))
+		o.expect(200, fmt.Sprintf("POST /wait/%d %s", i, body))
+	}
+	c = r.dial()
+	c.send(upload("/more") + body)
+	c.expect(200, "POST /more "+body)
+}
+
+// The caller is asked for a body only when no answer is due before it.
+func TestExpectContinue(t *testing.T) {
+	r := newRig(t)
+	c := r.dial()
+	for _, path := range []string{"/one", "/two"} {
+		c.send("POST " + path + " HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n")
+		c.expect(100, "")
+		c.send("x")
+		c.expect(200, "POST "+path+" x")
+	}
+	c.send(get("/wait/0") + "POST /three HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n")
+	r.await(r.started, "/one", "/two", "/wait/0")
+	r.release("/wait/0")
+	c.expect(200, "GET /wait/0 ")
+	c.expect(100, "")
+	c.send("x")
+	c.expect(200, "POST /three x")
+}
+
+// Heads that other programs may read differently, as the first request of a
+// connection and behind others.
+func TestMalformedHeads(t *testing.T) {
+	cases := map[string]string{
+		"two lengths":             "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nx",
+		"length and chunks":       "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"two encodings":           "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"list of lengths":         "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1, 1\r\n\r\nx",
+		"signed length":           "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +1\r\n\r\nx",
+		"bare line ends":          "GET / HTTP/1.1\nHost: h\n\n",
+		"one bare line end":       "GET / HTTP/1.1\r\nHost: h\r\nA: b\nContent-Length: 5\r\n\r\n",
+		"bare carriage return":    "GET / HTTP/1.1\r\nHost: h\r\nA: b\rc\r\n\r\n",
+		"folded line":             "GET / HTTP/1.1\r\nHost: h\r\nA: b\r\n c\r\n\r\n",
+		"blank before the colon":  "POST / HTTP/1.1\r\nHost: h\r\nContent-Length : 1\r\n\r\nx",
+		"two hosts":               "GET / HTTP/1.1\r\nHost: h\r\nHost: g\r\n\r\n",
+		"no host":                 "GET / HTTP/1.1\r\n\r\n",
+		"no colon":                "GET / HTTP/1.1\r\nHost: h\r\nnonsense\r\n\r\n",
+		"nul":                     "GET / HTTP/1.1\r\nHost: h\r\nA: b\x00c\r\n\r\n",
+		"other protocol":          "GET / HTTP/3.0\r\nHost: h\r\n\r\n",
+		"other transfer encoding": "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+		"no request":              "rubbish\r\n\r\n",
+	}
+	for name, head := range cases {
+		for _, first := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s first=%v", name, first), func(t *testing.T) {
+				r := newRig(t)
+				c := r.dial()
+				if !first {
+					c.send(get("/before"))
+					c.expect(200, "GET /before ")
+				}
+				c.send(head)
+				resp, err := http.ReadResponse(c.in, nil)
+				if err != nil || resp.StatusCode < 400 || resp.StatusCode > 505 {
+					t.Fatalf("answer %v, error %v", resp, err)
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				c.expectEnd()
+			})
+		}
+	}
+}
+
+func TestHeadSize(t *testing.T) {
+	long := func(n int) string {
+		return "GET / HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("x", n) + "\r\n\r\n"
+	}
+	r := newRig(t)
+	c := r.dial()
+	c.send(long(3000)) // longer than the buffer
+	c.expect(200, "GET / ")
+	c.send(long(3000) + get("/next"))
+	c.expect(200, "GET / ")
+	c.expect(200, "GET /next ")
+	c.send(long(5000))
+	c.expect(431, "")
+	c.expectEnd()
+}
+
+// A handler that panics ends its own request only.
+func TestPanicEndsOneRequest(t *testing.T) {
+	r := newRig(t)
+	c := r.dial()
+	c.send(get("/wait/0") + get("/panic") + get("/2"))
+	r.await(r.started, "/wait/0", "/panic", "/2")
+	r.release("/wait/0")
+	c.expect(200, "GET /wait/0 ")
+	c.expect(502, "")
+	c.expect(200, "GET /2 ")
+}
+
+// Pattern: a planned stop under load cuts requests that have just been
+// accepted. Every request that has been read gets its answer.
+func TestShutdownAnswersWhatIsAccepted(t *testing.T) {
+	r := newRig(t)
+	idle, waiting := r.dial(), r.dial()
+	idle.send(get("/before"))
+	idle.expect(200, "GET /before ")
+	waiting.send(get("/wait/0") + get("/wait/1"))
+	r.await(r.started, "/before", "/wait/0", "/wait/1")
+	done := make(chan error, 1)
+	go func() { done <- r.server.Shutdown(t.Context()) }()
+	idle.expectEnd()
+	waiting.send(get("/wait/2"))
+	r.await(r.started, "/wait/2")
+	for i := range 3 {
+		r.release(fmt.Sprintf("/wait/%d", i))
+		resp := waiting.expect(200, fmt.Sprintf("GET /wait/%d ", i))
+		if resp.Close != (i == 2) {
+			t.Errorf("answer %d closes: %v", i, resp.Close)
+		}
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// Many callers send and are answered while the server stops: none that was
+// accepted is cut.
+func TestShutdownUnderLoad(t *testing.T) {
+	r := newRig(t)
+	go func() {
+		for range r.started {
+		}
+	}()
+	var served, cut atomic.Int64
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			for {
+				nc, err := net.Dial("tcp", r.address)
+				if err != nil {
+					return
+				}
+				in := bufio.NewReader(nc)
+				for range 5 {
+					if _, err := io.WriteString(nc, get("/a")+get("/b")); err != nil {
+						break
+					}
+					first, err := http.ReadResponse(in, nil)
+					if err != nil {
+						break // not read
+					}
+					_, _ = io.Copy(io.Discard, first.Body)
+					served.Add(1)
+					if first.Close {
+						break
+					}
+					if second, err := http.ReadResponse(in, nil); err != nil {
+						cut.Add(1)
+					} else {
+						_, _ = io.Copy(io.Discard, second.Body)
+					}
+				}
+				_ = nc.Close()
+			}
+		})
+	}
+	r.eventually("there is load", func() bool { return served.Load() > 200 })
+	if err := r.server.Shutdown(t.Context()); err != nil {
+		t.Error(err)
+	}
+	callers.Wait()
+	if cut.Load() > 0 {
+		t.Errorf("%d requests behind another were dropped by an answer that doesn't close", cut.Load())
+	}
+	close(r.started)
+}
+
+func TestPhasesExpire(t *testing.T) {
+	now := time.Now()
+	limit := time.Second
+	cases := map[string]struct {
+		phase   phase
+		waiting int
+		after   time.Duration
+		want    bool
+	}{
+		"idle":                 {phaseIdle, 0, 2 * limit, true},
+		"idle for less":        {phaseIdle, 0, limit / 2, false},
+		"a request is at work": {phaseIdle, 1, 2 * limit, false},
+		"slow head":            {phaseHead, 1, 2 * limit, true},
+		"slow body":            {phaseBody, 0, 2 * limit, true},
+		"last answer due":      {phaseDone, 1, 2 * limit, false},
+	}
+	for name, tc := range cases {
+		c := &conn{server: &Server{options: Options{HeadTimeout: limit, BodyTimeout: limit, IdleTimeout: limit}}}
+		c.phase, c.since = tc.phase, now
+		c.line.waiting = make([]*entry, tc.waiting)
+		if got := c.expired(now.Add(tc.after)); got != tc.want {
+			t.Errorf("%s: expired %v", name, got)
+		}
+	}
+}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -239,18 +239,24 @@
 	n.plugins.Resign(ctx)
 }
 
-// AwaitIdle waits until the notice has passed and no call is in flight, at
-// most until the stop timeout. It returns how many calls are left.
-func (n *Node) AwaitIdle(began time.Time) int64 {
-	limit := began.Add(n.settings.StopTimeout - stopMargin)
-	ctx, stop := context.WithDeadline(context.Background(), limit)
-	defer stop()
+// StopLimit returns when a planned stop that began at a time ends at the
+// latest.
+func (n *Node) StopLimit(began time.Time) time.Time {
+	return began.Add(n.settings.StopTimeout - stopMargin)
+}
+
+// AwaitIdle waits until the notice of a planned stop has passed and no call is
+// in flight, or until ctx ends. busy tells whether requests of callers are on
+// their way to becoming calls.
+func (n *Node) AwaitIdle(ctx context.Context, began time.Time, busy func() bool) {
 	wait.For(ctx, time.Until(began.Add(stopNotice)))
-	for n.inFlight.Load() > 0 && wait.For(ctx, idlePoll) {
+	for (n.inFlight.Load() > 0 || busy()) && wait.For(ctx, idlePoll) {
 	}
-	return n.inFlight.Load()
 }
 
+// InFlight returns the number of calls in flight.
+func (n *Node) InFlight() int64 { return n.inFlight.Load() }
+
 // Close ends the node; calls in flight are cut.
 func (n *Node) Close() error {
 	if n.stop != nil {
