Directory: a record with needs is written once

Ruled out: needs that really change (77 writes), owners of pools (37). Change: records have one encoding. Test: TestRecordWithNeedsIsWrittenOnce, failed before.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -263,9 +263,18 @@
 	d.records[name] = s
 }
 
+// recordMode encodes equal records to equal bytes: maps have an order of their own.
+var recordMode = func() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic("directory: " + err.Error()) // the options are constant
+	}
+	return mode
+}()
+
 func sameRecord(a, b Record) bool {
-	x, errX := cbor.Marshal(a)
-	y, errY := cbor.Marshal(b)
+	x, errX := recordMode.Marshal(a)
+	y, errY := recordMode.Marshal(b)
 	return errX == nil && errY == nil && string(x) == string(y)
 }
 
@@ -397,7 +406,7 @@
 	done := d.written || d.own == nil
 	var value []byte
 	if !done {
-		value, _ = cbor.Marshal(*d.own)
+		value, _ = recordMode.Marshal(*d.own)
 	}
 	d.mu.Unlock()
 	if done {
@@ -411,7 +420,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now, _ := cbor.Marshal(*d.own)
+	now, _ := recordMode.Marshal(*d.own)
 	d.written = string(now) == string(value)
 	return d.written
 }
--- a/directory/reader_test.go
+++ b/directory/reader_test.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
 var errCut = errors.New("cut off from the store")
@@ -36,6 +38,7 @@
 type access struct {
 	store *sharedStore
 	reads atomic.Int64
+	puts  atomic.Int64
 	cut   atomic.Bool
 }
 
@@ -83,10 +86,40 @@
 	if a.cut.Load() {
 		return errCut
 	}
+	a.puts.Add(1)
 	a.store.put(topic, key, value)
 	return nil
 }
 
+// Pattern: a node that has learnt needs of several routes wrote its record
+// again with every word of the store (raiosul-alertas-large quiet-1, 267 of 575
+// writes): the order of a map changes the bytes of an encoding.
+func TestRecordWithNeedsIsWrittenOnce(t *testing.T) {
+	store := newSharedStore()
+	d, _ := newNode("a", "x", map[string]*fakePeers{})
+	way := &access{store: store}
+	d.options.Store = way
+	d.Announce(func(r *Record) {
+		r.Needs = state.Needs{}
+		for i := range 12 {
+			r.Needs[fmt.Sprint("route", i)] = map[string]int{"a": 1, "b": 2, "c": 3}
+		}
+	})
+	for range 20 {
+		if !d.writeOnce(t.Context()) {
+			t.Fatal("not written")
+		}
+		page, err := way.Newest(t.Context(), "members")
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.applyMembers(page.Items, page.End, 0)
+	}
+	if got := way.puts.Load(); got != 1 {
+		t.Errorf("the record was written %d times", got)
+	}
+}
+
 // A configuration that changes often costs calls to the store by the failure
 // domain, not by the node; a node that loses the store keeps none from a change.
 func TestChangesCostCallsByTheFailureDomain(t *testing.T) {
