Uploads: a body is held once at the entry node and once at the owner's

Cause: a body was copied into the message, into the frame, and into the request to the instance: five copies of up to 360 KB from socket to instance. Change: a message has a tail that a frame doesn't copy; the request to the instance is written in two parts. Two copies are left, one at each node, as read.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -91,11 +91,11 @@
 	return c
 }
 
-// request sends one message and waits for its answer. An error wraps
-// kernel.ErrNotSent only when no byte of the message was written.
-func (c *conn) request(ctx context.Context, kind string, from state.MemberID, body []byte) ([]byte, error) {
+// request sends one message, whose tail may be nil, and waits for its answer.
+// An error wraps kernel.ErrNotSent only when no byte of the message was written.
+func (c *conn) request(ctx context.Context, kind string, from state.MemberID, body, tail []byte) ([]byte, error) {
 	id := c.nextID.Add(1)
-	buf, err := encodeFrame(&frame{Type: frameRequest, ID: id, Kind: kind, From: from, Body: body})
+	buf, err := encodeFrame(&frame{Type: frameRequest, ID: id, Kind: kind, From: from, Body: body, Tail: tail})
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", kernel.ErrNotSent, err)
 	}
@@ -104,7 +104,7 @@
 		return nil, err
 	}
 	defer c.forget(id)
-	if err := c.write(buf); err != nil {
+	if err := c.writeWith(buf, tail); err != nil {
 		c.close()
 		return nil, fmt.Errorf("%w: %w", ErrConnLost, err)
 	}
@@ -156,6 +156,24 @@
 	return err
 }
 
+// writeWith writes a frame and its tail, unless that is in the frame already.
+func (c *conn) writeWith(buf, tail []byte) error {
+	if len(tail) <= copiedTailBytes {
+		return c.write(buf)
+	}
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	c.traffic.FramesSent.Add(1)
+	for _, part := range [][]byte{buf, tail} {
+		n, err := c.stream.Write(part)
+		c.traffic.BytesSent.Add(int64(n))
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *conn) readLoop() {
 	defer c.close()
 	r := bufio.NewReaderSize(c.stream, readBufferBytes)
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -46,8 +46,15 @@
 	// Fault is the handler's error text in an answer.
 	Fault string
 	Body  []byte
+	// Tail follows Body on the wire and is part of it at the receiver. A long one
+	// is sent without being copied.
+	Tail []byte
 }
 
+// copiedTailBytes is the size up to which a tail is copied behind the body, so
+// that the frame is one write.
+const copiedTailBytes = 4 << 10
+
 // Offsets of the fixed part of a frame, in bytes after the length prefix.
 const (
 	frameIDAt     = 1
@@ -66,28 +73,33 @@
 	ErrFrameShort    = errors.New("frame is cut short")
 )
 
-// encodeFrame returns the length prefix and the encoded frame in one buffer.
+// encodeFrame returns the length prefix and the encoded frame in one buffer. A
+// tail above copiedTailBytes is left out and has to be written after it.
 func encodeFrame(f *frame) ([]byte, error) {
 	if len(f.Kind) > math.MaxUint8 || len(f.From) > math.MaxUint16 {
 		return nil, ErrFrameTooLarge
 	}
 	fault := f.Fault[:min(len(f.Fault), math.MaxUint16)]
-	size := frameTextsAt + len(f.Kind) + len(f.From) + len(fault) + len(f.Body)
+	size := frameTextsAt + len(f.Kind) + len(f.From) + len(fault) + len(f.Body) + len(f.Tail)
 	if size > MaxFrameBytes {
 		return nil, ErrFrameTooLarge
 	}
-	buf := make([]byte, 0, frameHeaderBytes+size)
+	copied := f.Tail
+	if len(copied) > copiedTailBytes {
+		copied = nil
+	}
+	buf := make([]byte, 0, frameHeaderBytes+size-len(f.Tail)+len(copied))
 	buf = binary.BigEndian.AppendUint32(buf, uint32(size))
 	buf = append(buf, byte(f.Type))
 	buf = binary.BigEndian.AppendUint64(buf, f.ID)
-	buf = binary.BigEndian.AppendUint64(buf, digest(f.Body))
+	buf = binary.BigEndian.AppendUint64(buf, digest(f.Body, f.Tail))
 	buf = append(buf, byte(len(f.Kind)))
 	buf = binary.BigEndian.AppendUint16(buf, uint16(len(f.From)))
 	buf = binary.BigEndian.AppendUint16(buf, uint16(len(fault)))
 	buf = append(buf, f.Kind...)
 	buf = append(buf, f.From...)
 	buf = append(buf, fault...)
-	return append(buf, f.Body...), nil
+	return append(append(buf, f.Body...), copied...), nil
 }
 
 // readFrame reads and checks one frame; it also returns its size in bytes.
@@ -127,16 +139,22 @@
 	f.From = state.MemberID(payload[kind:from])
 	f.Fault = string(payload[from:fault])
 	f.Body = payload[fault:]
-	if binary.BigEndian.Uint64(payload[frameDigestAt:]) != digest(f.Body) {
+	if binary.BigEndian.Uint64(payload[frameDigestAt:]) != digest(f.Body, nil) {
 		return nil, ErrFrameDigest
 	}
 	return f, nil
 }
 
 // digest is zero for a frame without a body.
-func digest(body []byte) uint64 {
-	if len(body) == 0 {
+func digest(body, tail []byte) uint64 {
+	switch {
+	case len(body)+len(tail) == 0:
 		return 0
+	case len(tail) == 0:
+		return xxhash.Sum64(body)
 	}
-	return xxhash.Sum64(body)
+	d := xxhash.New()
+	_, _ = d.Write(body) // a hash takes every write
+	_, _ = d.Write(tail)
+	return d.Sum64()
 }
--- a/peer/network.go
+++ b/peer/network.go
@@ -156,18 +156,24 @@
 // with CarrierTCP.
 func (n *Network) Request(ctx context.Context, to state.Member, kind string, body []byte) ([]byte, error) {
 	if n.plain != nil {
-		return n.send(ctx, CarrierTCP, to.CallAddr, kind, body)
+		return n.send(ctx, CarrierTCP, to.CallAddr, kind, body, nil)
 	}
-	return n.send(ctx, CarrierQUIC, to.ControlAddr, kind, body)
+	return n.send(ctx, CarrierQUIC, to.ControlAddr, kind, body, nil)
 }
 
 // Call sends a message over the carrier for calls.
 func (n *Network) Call(ctx context.Context, to state.Member, kind string, body []byte) ([]byte, error) {
+	return n.CallWithTail(ctx, to, kind, body, nil)
+}
+
+// CallWithTail is Call for a message in two parts, which arrive as one; a long
+// tail isn't copied.
+func (n *Network) CallWithTail(ctx context.Context, to state.Member, kind string, body, tail []byte) ([]byte, error) {
 	address := to.ControlAddr
 	if n.carrier == CarrierTLS || n.carrier == CarrierTCP {
 		address = to.CallAddr
 	}
-	return n.send(ctx, n.carrier, address, kind, body)
+	return n.send(ctx, n.carrier, address, kind, body, tail)
 }
 
 // Notify sends a message without an answer over the carrier for calls. A
@@ -186,24 +192,24 @@
 	}()
 }
 
-func (n *Network) send(ctx context.Context, carrier Carrier, address, kind string, body []byte) ([]byte, error) {
+func (n *Network) send(ctx context.Context, carrier Carrier, address, kind string, body, tail []byte) ([]byte, error) {
 	n.Sent.Add(kind, 1)
 	if carrier == CarrierQUICStream {
-		return n.sendOnStream(ctx, address, kind, body)
+		return n.sendOnStream(ctx, address, kind, body, tail)
 	}
 	return n.link(carrier, address).request(ctx, func(c *conn) ([]byte, error) {
-		return c.request(ctx, kind, n.self, body)
+		return c.request(ctx, kind, n.self, body, tail)
 	})
 }
 
-func (n *Network) sendOnStream(ctx context.Context, address, kind string, body []byte) ([]byte, error) {
+func (n *Network) sendOnStream(ctx context.Context, address, kind string, body, tail []byte) ([]byte, error) {
 	stream, err := n.control.dial(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: dial %s: %w", kernel.ErrNotSent, address, err)
 	}
 	c := newConn(stream, n.serve, &n.ControlTraffic)
 	defer c.close()
-	return c.request(ctx, kind, n.self, body)
+	return c.request(ctx, kind, n.self, body, tail)
 }
 
 func (n *Network) link(carrier Carrier, address string) *link {
--- a/peer/tcp_test.go
+++ b/peer/tcp_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -80,3 +81,34 @@
 		t.Errorf("%q %v", got, err)
 	}
 }
+
+// A message in two parts arrives as one, whether its tail is copied or not.
+func TestTailFollowsTheBody(t *testing.T) {
+	a, _ := plain(t, "a")
+	b, to := plain(t, "b")
+	b.Handle("echo", func(_ context.Context, _ state.MemberID, body []byte) ([]byte, error) { return body, nil })
+	for _, size := range []int{0, 1, copiedTailBytes, copiedTailBytes + 1, 360 << 10} {
+		tail := bytes.Repeat([]byte{'t'}, size)
+		got, err := a.CallWithTail(t.Context(), to, "echo", []byte("head"), tail)
+		if err != nil || !bytes.Equal(got, append([]byte("head"), tail...)) {
+			t.Errorf("tail of %d bytes: %d bytes came back, %v", size, len(got), err)
+		}
+	}
+}
+
+// A handler that panics on a message, or on a notice, answers with an error and
+// leaves the process and the connection as they are.
+func TestPanicInHandlerIsContained(t *testing.T) {
+	a, _ := plain(t, "a")
+	b, to := plain(t, "b")
+	b.Handle("bad", func(context.Context, state.MemberID, []byte) ([]byte, error) { panic("malformed message") })
+	b.Handle("good", func(context.Context, state.MemberID, []byte) ([]byte, error) { return []byte("ok"), nil })
+	a.Notify(to, "bad", nil)
+	if _, err := a.Call(t.Context(), to, "bad", nil); !errors.Is(err, ErrRemote) {
+		t.Errorf("got %v, want an error of the handler", err)
+	}
+	a.Notify(to, "bad", nil)
+	if got, err := a.Call(t.Context(), to, "good", nil); err != nil || string(got) != "ok" {
+		t.Errorf("%q %v", got, err)
+	}
+}
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -115,13 +115,14 @@
 	return h
 }
 
+// encodeCall returns the message of a call, which its body has to follow.
 func encodeCall(c *kernel.Call, remaining time.Duration) ([]byte, error) {
 	return join(callMessage{
 		Service: c.Service, Route: c.RouteName, Method: c.Method, Host: c.Host, Path: c.Path,
 		Header: flatten(c.Header), Customer: c.Customer, CallerID: c.CallerID, Origin: c.Origin,
 		Priority: uint8(c.Priority), Idempotent: c.Idempotent, Depth: c.Depth, LatencyMS: c.LatencyMS,
 		RemainingUS: remaining.Microseconds(),
-	}, c.Body)
+	}, nil)
 }
 
 func decodeCall(data []byte) (*kernel.Call, time.Duration, error) {
@@ -191,14 +192,14 @@
 	if remaining <= 0 {
 		return kernel.Refuse(kernel.ReasonDeadline, "the deadline passed before the call was sent", 0)
 	}
-	body, err := encodeCall(c, remaining)
+	message, err := encodeCall(c, remaining)
 	if err != nil {
 		return kernel.Refuse(kernel.ReasonInternal, "encode call: "+err.Error(), 0)
 	}
 	if owner.Domain != n.host.Self.Domain {
 		n.metrics.crossed.Add(1)
 	}
-	answer, err := n.network.Call(ctx, owner, kindCall, body)
+	answer, err := n.network.CallWithTail(ctx, owner, kindCall, message, c.Body)
 	if err != nil {
 		return lostCall(ctx, err)
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -120,19 +120,22 @@
 	return resp, nil
 }
 
-// send writes the request. A long one is written beside the reading; the
-// channel tells when it is done.
+// send writes the request. A long one is written beside the reading, without
+// being copied; the channel tells when it is done.
 func (c *conn) send(r *Request) (<-chan error, error) {
-	buf := r.encode()
+	head := r.encodeHead()
 	written := make(chan error, 1)
-	if len(buf) > longRequestBytes {
+	if len(head)+len(r.Body) > longRequestBytes {
 		go func() {
-			_, err := c.net.Write(buf)
+			_, err := c.net.Write(head)
+			if err == nil {
+				_, err = c.net.Write(r.Body)
+			}
 			written <- err
 		}()
 		return written, nil
 	}
-	_, err := c.net.Write(buf)
+	_, err := c.net.Write(append(head, r.Body...))
 	written <- err
 	return written, err
 }
@@ -212,9 +215,13 @@
 	return 0
 }
 
-// encode returns the request as bytes.
-func (r *Request) encode() []byte {
-	b := make([]byte, 0, headRoom+len(r.Body))
+// encodeHead returns the bytes before the body, with room for a short one.
+func (r *Request) encodeHead() []byte {
+	room := headRoom
+	if len(r.Body) < longRequestBytes {
+		room += len(r.Body)
+	}
+	b := make([]byte, 0, room)
 	b = append(append(append(append(b, r.Method...), ' '), r.Target...), " HTTP/1.1\r\n"...)
 	b = appendField(b, "Host", r.Host)
 	for name, values := range r.Header {
@@ -228,8 +235,7 @@
 	if len(r.Body) > 0 || hasBody(r.Method) {
 		b = appendField(b, "Content-Length", strconv.Itoa(len(r.Body)))
 	}
-	b = append(b, "\r\n"...)
-	return append(b, r.Body...)
+	return append(b, "\r\n"...)
 }
 
 func appendField(b []byte, name, value string) []byte {
