Graph: calls that an instance will never answer are given up; runs left of an earlier process

Cause: instances of some services never respond to a call that they could not queue; such a call was waited for up to its deadline. After a restart of a node its gate knew nothing of the calls that its predecessor had left at the instance. For 5 s after its start a node takes what the instance tells of its load off its slots, at most half; half until it is told, 0.5 s at most.

--- a/admission/graph/closedloop_test.go
+++ b/admission/graph/closedloop_test.go
@@ -47,7 +47,7 @@
 func newService(instances, slots int) *service {
 	s := &service{admitted: loopRank + 1}
 	for range instances {
-		g := NewGate()
+		g := NewGate(settled)
 		g.SetSlots(slots)
 		s.gates = append(s.gates, g)
 		s.levels = append(s.levels, NewLevel(start, loopRank+1))
--- a/admission/graph/gate.go
+++ b/admission/graph/gate.go
@@ -23,6 +23,12 @@
 	// rejectHold is how long the limit stays reduced after the instance has
 	// rejected a call for want of room.
 	rejectHold = 500 * time.Millisecond
+	// leftTime is how long runs of an earlier process of the node are counted:
+	// about the longest timeout of the deployments' routes.
+	leftTime = 5 * time.Second
+	// unseenTime is how long half of the slots are kept free for them while the
+	// instance has not told its load.
+	unseenTime = 500 * time.Millisecond
 )
 
 // Ticket is one call at the gate. The exported fields are set before Offer.
@@ -32,6 +38,9 @@
 	Begun     bool
 	Objective time.Duration
 	Deadline  time.Time
+	// GiveUpSilent ends a call that may be repeated and to which the instance
+	// doesn't answer; nil for others.
+	GiveUpSilent func()
 
 	// StartBy is the latest start that meets the objective, GiveUp the time
 	// until which it waits.
@@ -39,6 +48,7 @@
 	GiveUp  time.Time
 
 	began time.Time
+	place runPlace
 	state ticketState
 	index int
 	ready chan struct{} // closed when a waiting ticket starts
@@ -58,15 +68,25 @@
 	slots     int
 	inFlight  int
 	queue     ticketQueue
+	running   map[string]*routeRuns
 	runTimes  map[string]time.Duration
 	meanRun   time.Duration
 	rejected  time.Time // latest rejection by the instance
 	rejection int       // slots held back since
 	offered   float64   // slot-seconds asked for since the last Offered
+	created   time.Time
+	left      int  // runs of an earlier process that are still at work
+	told      bool // the instance has told its load
 }
 
-// NewGate returns the gate of an instance whose slots are not known yet.
-func NewGate() *Gate { return &Gate{slots: unknownSlots, runTimes: map[string]time.Duration{}} }
+// NewGate returns the gate of an instance whose slots are not known yet, and
+// at which calls of an earlier process may still run.
+func NewGate(now time.Time) *Gate {
+	return &Gate{
+		slots: unknownSlots, created: now,
+		running: map[string]*routeRuns{}, runTimes: map[string]time.Duration{},
+	}
+}
 
 // SetSlots takes in what the instance tells; zero or less leaves it unknown.
 func (g *Gate) SetSlots(n int) {
@@ -86,7 +106,29 @@
 	if now.Sub(g.rejected) > rejectHold {
 		g.rejection = 0
 	}
-	return max(g.slots-g.rejection, 1)
+	return max(g.slots-g.rejection-g.leftRuns(now), 1)
+}
+
+// leftRuns returns the slots kept free for runs of an earlier process, at most
+// half of all: what an instance tells may be false.
+func (g *Gate) leftRuns(now time.Time) int {
+	age := now.Sub(g.created)
+	switch {
+	case age > leftTime:
+		return 0
+	case g.told:
+		return min(g.left, g.slots/2)
+	case age > unseenTime:
+		return 0
+	}
+	return g.slots / 2
+}
+
+// Tell takes in how many calls the instance runs and holds in wait, as told
+// with the answer to one that has not been taken out yet.
+func (g *Gate) Tell(busy int) {
+	g.told = true
+	g.left = max(busy-g.inFlight, 0)
 }
 
 // Offered returns the slot-seconds that calls have asked for since it was last
@@ -183,13 +225,15 @@
 type End struct {
 	// Ran is set when the instance has run the call to an answer.
 	Ran bool
-	// Rejected is set when the instance had no room for it.
+	// Rejected is set when the instance had no room for it, also when it showed
+	// that by silence.
 	Rejected bool
 }
 
 // Done takes a running call out and starts waiting ones.
 func (g *Gate) Done(now time.Time, t *Ticket, e End) {
 	g.inFlight--
+	g.running[t.Route].remove(t)
 	took := now.Sub(t.began)
 	switch {
 	case e.Rejected:
@@ -197,6 +241,7 @@
 		g.rejection = min(g.rejection+1, g.slots/2)
 	case e.Ran:
 		g.learn(t.Route, took)
+		g.running[t.Route].ran(took)
 	}
 	g.dispatch(now)
 }
@@ -240,6 +285,12 @@
 	g.inFlight++
 	t.began = now
 	t.state = stateRunning
+	runs := g.running[t.Route]
+	if runs == nil {
+		runs = newRouteRuns()
+		g.running[t.Route] = runs
+	}
+	runs.add(t)
 }
 
 // before reports whether a waits in front of b.
--- a/admission/graph/gate_test.go
+++ b/admission/graph/gate_test.go
@@ -22,7 +22,7 @@
 // Pattern: a small instance is full; begun work arrives behind new requests
 // and goes first, and an urgent call goes before one that can wait.
 func TestBegunAndUrgentWorkGoesFirst(t *testing.T) {
-	g := NewGate()
+	g := NewGate(settled)
 	g.SetSlots(1)
 	running := ticket("new", false, time.Second, start)
 	g.Offer(start, running)
@@ -50,7 +50,7 @@
 func TestGateBounds(t *testing.T) {
 	for seed := range uint64(20) {
 		rng := rand.New(rand.NewPCG(seed, 1))
-		g := NewGate()
+		g := NewGate(settled)
 		slots := 1 + rng.IntN(20)
 		g.SetSlots(slots)
 		now := start
@@ -87,7 +87,7 @@
 }
 
 func TestDeadlineThatCannotBeMetIsRefusedAtOnce(t *testing.T) {
-	g := NewGate()
+	g := NewGate(settled)
 	c := ticket("slow", false, time.Second, start)
 	g.Offer(start, c)
 	g.Done(start.Add(400*time.Millisecond), c, End{Ran: true})
--- a/admission/graph/owner.go
+++ b/admission/graph/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -23,6 +24,12 @@
 
 func (p *Plugin) serveOwner(ctx context.Context, c *kernel.Call, next kernel.Handler) *kernel.Result {
 	t := newTicket(c)
+	if c.Idempotent {
+		var giveUp context.CancelCauseFunc
+		ctx, giveUp = context.WithCancelCause(ctx)
+		defer giveUp(nil)
+		t.GiveUpSilent = func() { giveUp(kernel.ErrSilent) }
+	}
 	if !p.enter(ctx, t) {
 		return p.refusal(ctx, c)
 	}
@@ -39,6 +46,16 @@
 		Ran:      r.Outcome == kernel.OutcomeAnswered && r.Status < http.StatusInternalServerError,
 		Rejected: r.Outcome == kernel.OutcomeNotRun && r.Reason == kernel.ReasonOverload,
 	}
+	if errors.Is(context.Cause(ctx), kernel.ErrSilent) {
+		end.Rejected = true
+		p.host.Log.Info("silent call given up", "request", c.CallerID, "route", c.RouteName,
+			"took_ms", p.host.Now().Sub(t.began).Milliseconds(), "outcome", r.Outcome.String())
+	}
+	if r.Told != nil {
+		p.mu.Lock()
+		p.gate.Tell(r.Told.Running + r.Told.Waiting)
+		p.mu.Unlock()
+	}
 	p.leave(c, t, end)
 	return r
 }
--- a/admission/graph/plugin.go
+++ b/admission/graph/plugin.go
@@ -78,7 +78,7 @@
 // Provision keeps the host and registers the handler of notices.
 func (p *Plugin) Provision(h *kernel.Host) error {
 	p.host = h
-	p.gate = NewGate()
+	p.gate = NewGate(h.Now())
 	p.level = NewLevel(h.Now(), config.PriorityCount)
 	p.needs = NewNeeds(h.Now())
 	p.needsDue, p.needsWait = needsTicks, needsTicks
@@ -108,6 +108,7 @@
 		p.gate.Flush()
 	}
 	p.gate.dispatch(now)
+	silent := p.gate.Silent(now)
 	p.level.Update(now, p.gate.Offered(), p.gate.Backlog())
 	if p.ticks%solveTicks == 0 {
 		p.needs.Tick(now)
@@ -127,6 +128,9 @@
 	clear(p.levels)
 	needs := p.news(s)
 	p.mu.Unlock()
+	for _, t := range silent {
+		t.GiveUpSilent()
+	}
 	if due {
 		p.tell(s, n)
 	}
--- a/kernel/call.go
+++ b/kernel/call.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -120,8 +121,18 @@
 	Lost bool `cbor:"11,keyasint"`
 	// Offered is set when the call was sent to an instance, whatever came of it.
 	Offered bool `cbor:"12,keyasint,omitempty"`
+	// Told is the load that the instance has told with its answer, nil if it has
+	// told none; not sent on.
+	Told *Told `cbor:"-"`
 }
 
+// Told is an instance's own word on its load; it may be late or false.
+type Told struct{ Running, Waiting int }
+
+// ErrSilent is the cause with which a call's context ends when the instance
+// has shown that it will not answer.
+var ErrSilent = errors.New("the instance stays silent")
+
 // Load is what an owner node tells on every answer.
 type Load struct {
 	// Limit is the concurrency limit, InFlight and Queued the calls that
