Settings: SIGHUP reads them again

Cause: a changed settings file took effect at the next start only. Change: log level, memory, stop timeout and key withdrawal change at once; what needs a restart is named; a file with faults leaves the old settings in force with a line for each fault. Tests: TestSettingsAreReloaded (fails without the reload), TestChanged, TestChangedKnowsEverySetting.

--- a/auth/auth.go
+++ b/auth/auth.go
@@ -88,11 +88,11 @@
 // stale refuses requests with a key while the keys may have been withdrawn
 // unseen.
 func (p *plugin) stale() *kernel.Result {
-	if p.host.StateAge == nil || p.host.MaxKeyAge == 0 {
+	if p.host.StateAge == nil || p.host.MaxKeyAge == nil {
 		return nil
 	}
 	age := p.host.StateAge()
-	if age <= p.host.MaxKeyAge {
+	if age <= p.host.MaxKeyAge() {
 		return nil
 	}
 	detail := "the keys were confirmed " + age.Truncate(time.Millisecond).String() + " ago"
--- a/cmd/gooseberryflowd/main.go
+++ b/cmd/gooseberryflowd/main.go
@@ -49,7 +49,7 @@
 		return 0
 	}
 	if s.Sidecar != nil {
-		if err := serveSidecar(s.Sidecar, stdout); err != nil {
+		if err := serveSidecar(args, s.Sidecar, stdout); err != nil {
 			return exitFailure
 		}
 		return 0
--- a/cmd/gooseberryflowd/sidecar.go
+++ b/cmd/gooseberryflowd/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"os"
@@ -24,28 +25,94 @@
 	megabyte   = 1 << 20
 )
 
-// serveSidecar runs a node of a keyed deployment until a signal.
-func serveSidecar(s *settings.Sidecar, stdout io.Writer) error {
+// errNoSidecar reports a file for a node of another kind.
+var errNoSidecar = errors.New("the file has no table sidecar")
+
+// daemon is a node of a keyed deployment with the settings in force.
+type daemon struct {
+	args     []string
+	settings *settings.Sidecar
+	level    slog.LevelVar
+	log      *slog.Logger
+	changes  chan *settings.Sidecar
+}
+
+// serveSidecar runs a node of a keyed deployment until a signal. args are those
+// of the command line, from which the settings are read again on SIGHUP.
+func serveSidecar(args []string, s *settings.Sidecar, stdout io.Writer) error {
 	writer := boundlog.NewWriter(stdout)
 	defer writer.Close()
-	handler := slog.NewJSONHandler(writer, &slog.HandlerOptions{Level: s.LogLevel})
-	logger := slog.New(boundlog.NewHandler(handler, writer, logRate))
+	d := &daemon{args: args, settings: s, changes: make(chan *settings.Sidecar)}
+	handler := slog.NewJSONHandler(writer, &slog.HandlerOptions{Level: &d.level})
+	d.log = slog.New(boundlog.NewHandler(handler, writer, logRate))
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryMB*megabyte)))
+	d.apply(s)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	// Settings are read at the start; a change needs a restart.
+	go d.reloadOnSignal(ctx)
+	err := platform.Run(ctx, s, d.changes, d.log)
+	if err != nil {
+		d.log.Error("node ended", "error", err)
+	}
+	return err
+}
+
+// apply takes over what belongs to the process as a whole.
+func (d *daemon) apply(s *settings.Sidecar) {
+	d.level.Set(s.LogLevel)
+	debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryMB*megabyte)))
+}
+
+func (d *daemon) reloadOnSignal(ctx context.Context) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
-	go func() {
-		for range hup {
-			logger.Info("settings file changed; it is read at the next start")
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			d.reload(ctx)
 		}
-	}()
-	err := platform.Run(ctx, s, logger)
+	}
+}
+
+// reload reads the settings again and takes over what can change. Settings
+// with a fault leave those in force as they are.
+func (d *daemon) reload(ctx context.Context) {
+	all, err := settings.Parse(d.args, io.Discard)
+	if err == nil && all.Sidecar == nil {
+		err = errNoSidecar
+	}
+	if err == nil {
+		err = all.Sidecar.CheckPlugins(pluginNames())
+	}
 	if err != nil {
-		logger.Error("node ended", "error", err)
+		for _, e := range split(err) {
+			d.log.Error("settings not reloaded, those in force stay", "error", e)
+		}
+		return
 	}
-	return err
+	live, fixed := d.settings.Changed(all.Sidecar)
+	d.apply(all.Sidecar)
+	select {
+	case d.changes <- all.Sidecar:
+	case <-ctx.Done():
+		return
+	}
+	d.log.Info("settings reloaded", "changed", live, "need_restart", fixed)
+	// What needs a restart is named again with the next signal.
+	next := *d.settings
+	next.MemoryMB, next.LogLevel = all.Sidecar.MemoryMB, all.Sidecar.LogLevel
+	next.StopTimeout, next.KeyWithdrawal = all.Sidecar.StopTimeout, all.Sidecar.KeyWithdrawal
+	d.settings = &next
+}
+
+// split returns the errors that have been joined.
+func split(err error) []error {
+	var joined interface{ Unwrap() []error }
+	if errors.As(err, &joined) {
+		return joined.Unwrap()
+	}
+	return []error{err}
 }
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -24,9 +24,9 @@
 	// StateAge returns how long ago the configuration in the snapshot was
 	// vouched for; nil where its age isn't known.
 	StateAge func() time.Duration
-	// MaxKeyAge is the StateAge above which no key is accepted; zero means no
+	// MaxKeyAge returns the StateAge above which no key is accepted; nil means no
 	// bound.
-	MaxKeyAge time.Duration
+	MaxKeyAge func() time.Duration
 	// InstancesApart is set where an instance goes on running when the node
 	// beside it ends, so that the loss of a node says nothing of its instance.
 	InstancesApart bool
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -42,6 +42,9 @@
 	StoreAddress    netip.AddrPort
 	StorePartitions int
 
+	// ConfigApply is the time within which a configuration has to be in force
+	// everywhere; zero means unset.
+	ConfigApply time.Duration
 	// KeyWithdrawal is the time within which a withdrawn key stops working.
 	KeyWithdrawal time.Duration
 	// RetryRatio, RetrySlack and RetryWindow bound the repeated attempts at a
@@ -55,6 +58,7 @@
 const (
 	minMemoryMB      = 16
 	minKeyWithdrawal = time.Second
+	minConfigApply   = time.Second
 	maxPartitions    = 1024
 )
 
@@ -98,6 +102,12 @@
 
 func (s *Sidecar) readBounds(t *tomlfile.Table) {
 	t.Require("key_withdrawal", "retry_ratio", "retry_slack", "retry_window")
+	if t.Has("config_apply") {
+		s.ConfigApply = t.Duration("config_apply")
+		if t.Valid("config_apply") && s.ConfigApply < minConfigApply {
+			t.Reportf("config_apply", "must be at least %s", minConfigApply)
+		}
+	}
 	s.KeyWithdrawal = t.Duration("key_withdrawal")
 	s.RetryRatio = t.Float("retry_ratio")
 	s.RetrySlack = t.Float("retry_slack")
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -46,11 +46,18 @@
 	AdvertisedAddr string
 	Plugins        []string
 	Topics         directory.Topics
+	// ConfigApply is the time within which a configuration has to be in force.
+	ConfigApply time.Duration
+	Limits
+	Retries kernel.RetryBounds
+	Pools   kernel.PoolSettings
+}
+
+// Limits are the settings that can change while the node runs.
+type Limits struct {
 	// MaxKeyAge is the age of the configuration above which keys are refused.
 	MaxKeyAge   time.Duration
 	StopTimeout time.Duration
-	Retries     kernel.RetryBounds
-	Pools       kernel.PoolSettings
 }
 
 // Instance is what is known about the instance beside the node.
@@ -74,6 +81,7 @@
 	log       *slog.Logger
 	metrics   *metrics
 
+	limits     atomic.Pointer[Limits]
 	stopping   atomic.Bool
 	stoppedAt  atomic.Int64 // start of the planned stop, Unix ms
 	inFlight   atomic.Int64
@@ -99,8 +107,10 @@
 	}
 	n := &Node{settings: s, network: network, log: log, metrics: newMetrics()}
 	n.instance.Store(&Instance{})
+	n.SetLimits(s.Limits)
 	n.directory = directory.New(directory.Options{
 		Store: store, Topics: s.Topics, Decode: decode, Log: log, Rand: rand.Uint64, Name: s.Name,
+		ConfigApply: s.ConfigApply,
 	})
 	n.directory.Attach(network)
 	n.host = &kernel.Host{
@@ -109,7 +119,7 @@
 		Rand:      rand.Uint64,
 		Snapshot:  n.directory.Snapshot,
 		StateAge:  n.directory.Age,
-		MaxKeyAge: s.MaxKeyAge,
+		MaxKeyAge: func() time.Duration { return n.limits.Load().MaxKeyAge },
 		// The platform stops and starts nodes beside running instances.
 		InstancesApart: true,
 		Retries:        s.Retries,
@@ -185,6 +195,9 @@
 	return n.stopping.Load() && n.host.Now().UnixMilli()-n.stoppedAt.Load() > stopTaking.Milliseconds()
 }
 
+// SetLimits changes the limits; a planned stop that has begun keeps its own.
+func (n *Node) SetLimits(l Limits) { n.limits.Store(&l) }
+
 // Instance returns what is known about the instance beside the node.
 func (n *Node) Instance() Instance { return *n.instance.Load() }
 
@@ -242,7 +255,7 @@
 // StopLimit returns when a planned stop that began at a time ends at the
 // latest.
 func (n *Node) StopLimit(began time.Time) time.Time {
-	return began.Add(n.settings.StopTimeout - stopMargin)
+	return began.Add(n.limits.Load().StopTimeout - stopMargin)
 }
 
 // AwaitIdle waits until the notice of a planned stop has passed and no call is
