Directory: fewer calls to the store at start, in calm and while it is lost

Ruled out: joins of the owners of pools (94 of 1,822). Change: a process that has read the newest records waits until those that start with it have announced themselves; a poll waits for what config_apply leaves, 1.2 s at most; while the store is lost only the configuration is asked for, by nodes behind the first five of a domain each 2 to 3 s.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -17,11 +17,27 @@
 )
 
 const (
-	// configWait and membersWait are how long a poll waits for records. The
-	// former bounds the age of what the leading node of a failure domain tells.
-	configWait  = 700 * time.Millisecond
-	membersWait = 25 * time.Second
-	gatherDelay = 700 * time.Millisecond
+	// configWaitMin and configWaitMax bound how long a poll for configurations
+	// waits, which is what the time in which they have to be in force leaves after
+	// configSlack: the pull that finds the reader silent, pullSilence beyond the
+	// wait, and a read. It bounds the age of what the leading node of a failure
+	// domain tells.
+	configWaitMin = 700 * time.Millisecond
+	configWaitMax = 1200 * time.Millisecond
+	configSlack   = 1300 * time.Millisecond
+	// membersWait is how long a poll for members waits, storeSilence the time
+	// without word of the store after which only its configuration is asked for.
+	membersWait  = 25 * time.Second
+	storeSilence = 3 * time.Second
+	gatherDelay  = 700 * time.Millisecond
+	// settleDelay and configSettle are above the time within which the processes
+	// of a fleet start and announce themselves.
+	settleDelay  = 600 * time.Millisecond
+	configSettle = 1200 * time.Millisecond
+	// outageRetry is the least pause between calls to a lost store for nodes
+	// behind the first pullPeers of their failure domain; up to a half more is
+	// drawn.
+	outageRetry = 2 * time.Second
 	// writeDelay gathers changes of the own record; writeRetryMax is the longest
 	// pause before a write is tried again, while peers pass the record on.
 	writeDelay    = 100 * time.Millisecond
@@ -46,6 +62,14 @@
 	Rand   func() uint64
 	// Name is the key of the node's own record.
 	Name string
+	// ConfigApply is the time within which a configuration has to be in force
+	// everywhere; zero stands for the shortest that is served.
+	ConfigApply time.Duration
+}
+
+// configWait returns how long a poll for configurations waits.
+func (o *Options) configWait() time.Duration {
+	return min(max(o.ConfigApply-configSlack, configWaitMin), configWaitMax)
 }
 
 // Directory publishes snapshots. It is safe for concurrent use.
@@ -139,9 +163,13 @@
 		return func() { f.run(ctx) }
 	}
 	var running sync.WaitGroup
-	running.Go(follow(&follower{topic: topics.Config, wait: configWait, apply: d.applyConfig, resume: d.resumeConfig}))
 	running.Go(follow(&follower{
-		topic: topics.Members, wait: membersWait, gather: gatherDelay, apply: d.applyMembers, resume: d.resumeMembers,
+		topic: topics.Config, wait: d.options.configWait(), settle: configSettle, backoff: d.backoff,
+		apply: d.applyConfig, resume: d.resumeConfig,
+	}))
+	running.Go(follow(&follower{
+		topic: topics.Members, wait: membersWait, gather: gatherDelay, settle: settleDelay, backoff: d.backoff,
+		apply: d.applyMembers, resume: d.resumeMembers,
 	}))
 	running.Go(func() { d.pull(ctx) })
 	running.Go(func() { d.write(ctx) })
@@ -205,11 +233,22 @@
 	return true
 }
 
-// resumeMembers lets the follower of the members run while this node leads.
+// resumeMembers lets the follower of the members run while this node leads and
+// the store answers.
 func (d *Directory) resumeMembers() (uint64, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.membersNext, d.leading.Load()
+	answers := d.silence() < storeSilence || d.Snapshot().Config == nil
+	return d.membersNext, d.leading.Load() && answers
+}
+
+// backoff lengthens the pause between calls to a lost store for nodes that
+// learn from those before them when it is back.
+func (d *Directory) backoff(pause time.Duration) time.Duration {
+	if len(d.ahead()) < pullPeers || d.Snapshot().Config == nil {
+		return pause
+	}
+	return max(pause, outageRetry+time.Duration(d.options.Rand()%uint64(outageRetry/2)))
 }
 
 func (d *Directory) applyMembers(items []Item, next uint64, _ boottime.Instant) {
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -24,9 +24,12 @@
 	store Store
 	topic string
 	wait  time.Duration
-	// gather is a pause after records have arrived.
-	gather time.Duration
-	apply  func(items []Item, next uint64, sent boottime.Instant)
+	// gather is a pause after records have arrived, settle one after the first
+	// reading: nodes that start together announce themselves meanwhile.
+	gather, settle time.Duration
+	// backoff lengthens the pause after a failed call; nil leaves it as it is.
+	backoff func(time.Duration) time.Duration
+	apply   func(items []Item, next uint64, sent boottime.Instant)
 	// resume returns false while somebody else follows the topic for this node,
 	// and otherwise the offset that is known by then.
 	resume func() (uint64, bool)
@@ -61,7 +64,11 @@
 			return
 		}
 		f.failed(err)
-		wait.For(ctx, delay)
+		pause := delay
+		if f.backoff != nil {
+			pause = f.backoff(delay)
+		}
+		wait.For(ctx, pause)
 		delay = min(2*delay, retryMax)
 	}
 }
@@ -77,6 +84,7 @@
 		}
 		f.synced, f.next = true, page.End
 		f.apply(page.Items, page.End, sent)
+		wait.For(ctx, f.settle)
 		return nil
 	}
 	records := f.wait
--- a/directory/pull.go
+++ b/directory/pull.go
@@ -21,9 +21,9 @@
 	// store may refuse a third of the nodes and more.
 	pullPeers = 5
 	pullTime  = 500 * time.Millisecond
-	// pullSilence is the time without word of the store above which a peer is
-	// passed over: a poll of the leading node, its answer and some delay.
-	pullSilence = time.Second
+	// pullSilence is the time without word of the store, beyond a poll of the
+	// leading node, above which a peer is passed over: its answer and some delay.
+	pullSilence = 300 * time.Millisecond
 	// avoidFor is how long a peer that didn't answer is passed over.
 	avoidFor = 3 * time.Second
 )
@@ -55,7 +55,7 @@
 			d.mu.Unlock()
 			continue
 		}
-		if silence <= pullSilence {
+		if silence <= d.options.configWait()+pullSilence {
 			advance(&d.heard, boottime.Now().Add(-silence))
 			return true
 		}
