Bounded log: lines after its end are not written

Cause: a line logged by a goroutine left at the end of the process wrote to a closed channel, a panic. Test: TestLinesAfterCloseAreNotWritten, failed before.

--- a/internal/boundlog/boundlog.go
+++ b/internal/boundlog/boundlog.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"sync"
@@ -19,12 +20,16 @@
 	writeBytes = 16 << 10
 )
 
+var errClosed = errors.New("the log is closed")
+
 // Writer queues whole lines for an output.
 type Writer struct {
 	lines   chan []byte
 	dropped atomic.Int64
 	done    chan struct{}
-	once    sync.Once
+
+	mu     sync.RWMutex // guards closed, and lines against being closed
+	closed bool
 }
 
 // NewWriter returns a writer to out; Close flushes it.
@@ -36,6 +41,11 @@
 
 // Write queues a line, or drops and counts it.
 func (w *Writer) Write(line []byte) (int, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		return 0, errClosed
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
@@ -44,9 +54,14 @@
 	return len(line), nil
 }
 
-// Close writes what is queued. Nothing may be written after it.
+// Close writes what is queued. Lines that come after it are not written.
 func (w *Writer) Close() {
-	w.once.Do(func() { close(w.lines) })
+	w.mu.Lock()
+	if !w.closed {
+		w.closed = true
+		close(w.lines)
+	}
+	w.mu.Unlock()
 	<-w.done
 }
 
--- a/internal/boundlog/boundlog_test.go
+++ b/internal/boundlog/boundlog_test.go
@@ -1,6 +1,7 @@
 package boundlog
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
@@ -112,3 +113,30 @@
 	b.ReportMetric(float64(left), "left-out")
 	w.Close()
 }
+
+// Pattern: a goroutine that is left at the end of a process logs a line, which
+// must not end the process in a panic.
+func TestLinesAfterCloseAreNotWritten(t *testing.T) {
+	var out bytes.Buffer
+	w := NewWriter(&out)
+	if _, err := w.Write([]byte("before\n")); err != nil {
+		t.Fatal(err)
+	}
+	var writers sync.WaitGroup
+	for range 4 {
+		writers.Go(func() {
+			for range 1000 {
+				_, _ = w.Write([]byte("beside\n"))
+			}
+		})
+	}
+	w.Close()
+	writers.Wait()
+	if _, err := w.Write([]byte("after\n")); err == nil {
+		t.Error("no error for a line after the end")
+	}
+	w.Close()
+	if text := out.String(); !strings.HasPrefix(text, "before\n") || strings.Contains(text, "after") {
+		t.Errorf("written: %.40q", text)
+	}
+}
