--- a/directory/ask.go
+++ b/directory/ask.go
@@ -87,7 +87,9 @@
 	if err != nil {
 		return maxAge, err
 	}
-	if !d.learn(a, sent) {
+	// Before the first configuration there is none to vouch for.
+	none := a.Version == 0 && d.Snapshot().Version == 0
+	if !d.learn(a, sent) && !none {
 		return maxAge, nil
 	}
 	return boottime.Now().Sub(sent) + time.Duration(a.SilenceMS)*time.Millisecond, nil
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -62,6 +62,9 @@
 	Rand   func() uint64
 	// Name is the key of the node's own record.
 	Name string
+	// Recall is told of the instance that an earlier process of the same name has
+	// left in its record; it may be nil.
+	Recall func(Instance)
 	// ConfigApply is the time within which a configuration has to be in force
 	// everywhere; zero stands for the shortest that is served.
 	ConfigApply time.Duration
@@ -114,6 +117,17 @@
 	PoolTerm uint64 `cbor:"4,keyasint,omitempty"`
 	// Needs is what the node has learnt of the runs at its instance.
 	Needs state.Needs `cbor:"5,keyasint,omitempty"`
+	// Instance is the instance that was beside the node last.
+	Instance Instance `cbor:"6,keyasint,omitempty"`
+}
+
+// Instance is one incarnation of an instance.
+type Instance struct {
+	ID string `cbor:"1,keyasint,omitempty"`
+	// BornMS is its start in Unix milliseconds, zero if it isn't known.
+	BornMS int64 `cbor:"2,keyasint,omitempty"`
+	// Left is set once it has said that it leaves.
+	Left bool `cbor:"3,keyasint,omitempty"`
 }
 
 // stored is a record with its place in the store; zero for one that has come
@@ -199,9 +213,12 @@
 	}
 	// A document that can't be read may withdraw keys, so nothing vouches for
 	// the ones at hand.
-	if taken && d.Snapshot().Config != nil {
+	if !taken {
+		return
+	}
+	advance(&d.heard, boottime.Now())
+	if d.Snapshot().Config != nil {
 		advance(&d.contact, sent)
-		advance(&d.heard, boottime.Now())
 	}
 }
 
@@ -287,6 +304,9 @@
 		d.ownOffset = max(d.ownOffset, s.Offset)
 		if r.Member.ID != d.own.Member.ID {
 			d.previous = r
+			if d.options.Recall != nil {
+				go d.options.Recall(r.Instance) // it may announce a change
+			}
 			if d.own.Needs == nil && r.Member.Service == d.own.Member.Service {
 				own := *d.own
 				own.Needs = r.Needs
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -51,6 +51,8 @@
 	Limits
 	Retries kernel.RetryBounds
 	Pools   kernel.PoolSettings
+	// Recall is told of the instance that was beside an earlier process.
+	Recall func(directory.Instance)
 }
 
 // Limits are the settings that can change while the node runs.
@@ -67,6 +69,8 @@
 	Draining bool
 	// Present is false before the first and after the last word of it.
 	Present bool
+	// BornMS is its start in Unix milliseconds, zero if it isn't known.
+	BornMS int64
 }
 
 // Node is one running node.
@@ -110,7 +114,7 @@
 	n.SetLimits(s.Limits)
 	n.directory = directory.New(directory.Options{
 		Store: store, Topics: s.Topics, Decode: decode, Log: log, Rand: rand.Uint64, Name: s.Name,
-		ConfigApply: s.ConfigApply,
+		ConfigApply: s.ConfigApply, Recall: s.Recall,
 	})
 	n.directory.Attach(network)
 	n.host = &kernel.Host{
@@ -222,6 +226,7 @@
 		r.Member.Slots = i.Slots
 		r.Member.Draining = i.Draining || n.stopping.Load()
 		r.Present = i.Present
+		r.Instance = directory.Instance{ID: i.ID, BornMS: i.BornMS, Left: i.ID != "" && (i.Draining || !i.Present)}
 	})
 }
 
