Soak: callers that send several requests at a time, early answers, silent instances

New faults: answers-early, silence; new checks: behind (a request behind an answer that closes has run), body (other bytes in place of a body).

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -40,6 +40,8 @@
 			rng := rand.New(rand.NewPCG(seed, uint64(1000+i*callersPerNode+k)))
 			c.running.Go(func() { c.loop(n, rng) })
 		}
+		rng := rand.New(rand.NewPCG(seed, uint64(2000+i)))
+		c.running.Go(func() { c.pipeline(n, rng) })
 	}
 	return c
 }
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -63,6 +63,7 @@
 			l.stops[0] = []span{{at, at.Add(5 * time.Second)}}
 			s.Err = errors.New("connection ended")
 		}},
+		{"behind", func(_ *ledger, s *sent, _ time.Time) { s.Behind, s.Err = true, errBehind }},
 		{"config", func(l *ledger, s *sent, at time.Time) {
 			s.Version, s.At, s.Ended, s.Key = 1, at.Add(14*time.Second), at.Add(14*time.Second), "k2"
 			l.runs[0].Customer = "club"
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -15,7 +15,8 @@
 // between nodes and to the store are delayed, cut, silenced one way or reset;
 // the store is down, silent, slow, loses answers, does writes late, forgets its
 // history and deals partitions anew; instances lose answers, cut them short,
-// send extra ones, reject, drain and are replaced. Faults overlap.
+// send extra ones, reject, also before the body is in, stay silent, drain and are
+// replaced. Some callers send several requests at a time, or leave. Faults overlap.
 //
 // # Checks
 //
