--- a/admission/graph/doc.go
+++ b/admission/graph/doc.go
@@ -13,6 +13,11 @@
 // objective leaves for a new request, longer for a call of begun work, whose
 // refusal would waste what the tree has cost so far.
 //
+// After a start, slots are kept free for runs that an earlier process may have
+// left, by what the instance tells of its load. A call that may be repeated and
+// was overtaken by many later ones of its route is given up: some instances never
+// answer what they could not queue.
+//
 // # Owner: level
 //
 // Each node beside an instance keeps an admission level: the rank from which
