Pipeline: a fault while a head is looked at ends its connection only

Cause: the reading goroutine had no recovery, so a panic in Accept ended the process; the time of a slow head began again with every answer written meanwhile. Packages without a logger of their own write the node's JSON lines.

--- a/cmd/gooseberryflowd/main.go
+++ b/cmd/gooseberryflowd/main.go
@@ -55,6 +55,7 @@
 		return 0
 	}
 	logger := slog.New(slog.NewJSONHandler(stderr, &slog.HandlerOptions{Level: s.Node.LogLevel}))
+	slog.SetDefault(logger) // for packages without a logger of their own
 	logger.Info("settings read", "settings", s)
 	if err := serve(s, logger); err != nil {
 		logger.Error("node ended", "error", err)
--- a/cmd/gooseberryflowd/sidecar.go
+++ b/cmd/gooseberryflowd/sidecar.go
@@ -45,6 +45,7 @@
 	d := &daemon{args: args, settings: s, changes: make(chan *settings.Sidecar)}
 	handler := slog.NewJSONHandler(writer, &slog.HandlerOptions{Level: &d.level})
 	d.log = slog.New(boundlog.NewHandler(handler, writer, logRate))
+	slog.SetDefault(d.log) // for packages without a logger of their own
 	debug.SetGCPercent(gcPercent)
 	d.apply(s)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -49,7 +50,7 @@
 	line    line
 	writing bool
 	phase   phase
-	since   time.Time // of the phase, or of the last answer
+	since   time.Time // of the phase, or of the last answer while it is idle
 	left    bool
 }
 
@@ -124,6 +125,11 @@
 // server ends the connection.
 func (c *conn) read(first *http.Request) {
 	defer c.leave()
+	defer func() {
+		if cause := recover(); cause != nil {
+			c.server.options.Log.Error("request failed unexpectedly", "cause", fmt.Sprint(cause))
+		}
+	}()
 	if !c.take(first, c.headAt) {
 		c.discard()
 		return
@@ -262,7 +268,7 @@
 func (c *conn) serve(e *entry) (answer *Response) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			c.server.options.Log.Error("request failed unexpectedly", "cause", cause)
+			c.server.options.Log.Error("request failed unexpectedly", "cause", fmt.Sprint(cause))
 			answer = c.server.options.Handler.Refuse(nil, CauseFailed)
 		}
 	}()
@@ -289,7 +295,9 @@
 		if next := c.line.written(); next != nil {
 			requestWorkers.Run(func() { c.run(next) })
 		}
-		c.since = time.Now()
+		if c.phase == phaseIdle {
+			c.since = time.Now()
+		}
 		c.room.Broadcast()
 		if err != nil || last {
 			c.finish(err)
--- a/pipeline/server_test.go
+++ b/pipeline/server_test.go
@@ -39,6 +39,9 @@
 }
 
 func (s *script) Accept(r *http.Request, _ time.Time) (*Exchange, *Response) {
+	if r.URL.Path == "/panic-at-head" {
+		panic("unexpected")
+	}
 	if r.URL.Path == "/refuse" {
 		return nil, text(http.StatusServiceUnavailable, "refused", true)
 	}
@@ -454,6 +457,15 @@
 	c.expect(200, "GET /wait/0 ")
 	c.expect(502, "")
 	c.expect(200, "GET /2 ")
+	for _, path := range []string{"/panic-at-head", "/before"} {
+		c = r.dial()
+		c.send(get(path))
+		if path == "/before" {
+			c.expect(200, "GET /before ")
+			c.send(get("/panic-at-head"))
+		}
+		c.expectEnd()
+	}
 }
 
 // Pattern: a planned stop under load cuts requests that have just been
