Tests: no free address is given twice

A free port was found by binding and closing it, and the kernel offered it again for the next address of the same daemon. Ruled out: a fault of the product; the daemon refused wrong settings. Change: addresses that have been given in a process are passed over.

--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -17,6 +17,7 @@
 	"text/template"
 	"time"
 
+	"github.com/gooseberryflow/gooseberryflow/internal/daemontest"
 	"github.com/gooseberryflow/gooseberryflow/internal/devcert"
 	"github.com/gooseberryflow/gooseberryflow/internal/standin"
 	logstandin "github.com/gooseberryflow/gooseberryflow/streamlog/standin"
@@ -313,20 +314,19 @@
 
 func freeTCP(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return free(t, daemontest.FreeAddress)
 }
 
 func freeUDP(t testing.TB) string {
 	t.Helper()
-	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	return free(t, daemontest.FreePacketAddress)
+}
+
+func free(t testing.TB, draw func() (string, error)) string {
+	t.Helper()
+	address, err := draw()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = c.Close() }()
-	return c.LocalAddr().String()
+	return address
 }
--- a/internal/daemontest/daemon.go
+++ b/internal/daemontest/daemon.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -49,14 +50,51 @@
 	return run(path)
 }
 
-// FreeAddress returns a loopback address whose port is free now.
+var (
+	givenMu sync.Mutex
+	given   = map[string]bool{}
+)
+
+// FreeAddress returns a loopback address whose TCP port is free now. It never
+// returns one twice: the kernel may, before the first is bound again.
 func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	return freeAddress(func() (io.Closer, string, error) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, "", err
+		}
+		return l, l.Addr().String(), nil
+	})
+}
+
+// FreePacketAddress is FreeAddress for UDP.
+func FreePacketAddress() (string, error) {
+	return freeAddress(func() (io.Closer, string, error) {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			return nil, "", err
+		}
+		return c, c.LocalAddr().String(), nil
+	})
+}
+
+// freeAddress binds addresses until one has not been given before; those given
+// stay bound meanwhile, so that the kernel offers others.
+func freeAddress(bind func() (io.Closer, string, error)) (string, error) {
+	for {
+		bound, address, err := bind()
+		if err != nil {
+			return "", err
+		}
+		defer func() { _ = bound.Close() }()
+		givenMu.Lock()
+		again := given[address]
+		given[address] = true
+		givenMu.Unlock()
+		if !again {
+			return address, nil
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
 }
 
 // Daemon is one daemon, which may be started again and again. It is safe for
