Readers: every answer, head, frame and page has a bound in bytes and in time

Change: upstream reads through a meter (64 KB for the head with interim answers and what follows a body, six bytes on the wire for one of a body in chunks) and never closes a body, so nothing is drained; the exchange ends with the call or a minute. Frames between nodes: memory as bytes arrive, 10 s from the length to the end. Soak: instances and the store answer without end in a head, a body, chunks, a trailer, interim answers; that fault was not run on the code before.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -32,6 +33,10 @@
 	// idleWorkers bounds the goroutines that wait for further messages.
 	idleWorkers = 16
 
+	// frameTimeout bounds the time from a frame's length to its end: the largest
+	// takes 1.2 s on the narrowest link of the deployments, 120 Mbit/s.
+	frameTimeout = 10 * time.Second
+
 	// A connection on which answers are due and nothing has arrived for
 	// silentProbe checks is probed, and ended after silentLimit checks. Checks
 	// are counted, not timed, so that a node short of processor time does not
@@ -178,7 +183,7 @@
 	defer c.close()
 	r := bufio.NewReaderSize(c.stream, readBufferBytes)
 	for {
-		f, size, err := readFrame(r)
+		f, size, err := c.readFrame(r)
 		if err != nil {
 			return
 		}
@@ -189,6 +194,20 @@
 	}
 }
 
+// readFrame reads the next frame. One that has begun ends within frameTimeout.
+func (c *conn) readFrame(r *bufio.Reader) (*frame, int, error) {
+	header, err := r.Peek(frameHeaderBytes)
+	if err != nil {
+		return nil, 0, err
+	}
+	stream, limited := c.stream.(interface{ SetReadDeadline(time.Time) error })
+	if limited && r.Buffered() < frameHeaderBytes+int(binary.BigEndian.Uint32(header)) {
+		_ = stream.SetReadDeadline(time.Now().Add(frameTimeout))
+		defer func() { _ = stream.SetReadDeadline(time.Time{}) }()
+	}
+	return readFrame(r)
+}
+
 func (c *conn) dispatch(f *frame) {
 	switch f.Type {
 	case frameRequest:
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -21,6 +21,9 @@
 // MaxFrameBytes bounds one encoded frame.
 const MaxFrameBytes = 16 << 20
 
+// payloadStep is what is set aside for a frame before any of it has arrived.
+const payloadStep = 64 << 10
+
 // frameHeaderBytes is the size of the length prefix.
 const frameHeaderBytes = 4
 
@@ -112,14 +115,30 @@
 	if size > MaxFrameBytes {
 		return nil, 0, ErrFrameTooLarge
 	}
-	payload := make([]byte, size)
-	if _, err := io.ReadFull(r, payload); err != nil {
+	payload, err := readPayload(r, int(size))
+	if err != nil {
 		return nil, 0, fmt.Errorf("read frame: %w", err)
 	}
 	f, err := decodeFrame(payload)
 	return f, frameHeaderBytes + len(payload), err
 }
 
+// readPayload sets memory aside as the bytes arrive, so that a length alone
+// holds none.
+func readPayload(r io.Reader, size int) ([]byte, error) {
+	payload := make([]byte, min(size, payloadStep))
+	for read := 0; ; {
+		n, err := io.ReadFull(r, payload[read:])
+		read += n
+		if err != nil || read == size {
+			return payload, err
+		}
+		grown := make([]byte, min(size, 2*read))
+		copy(grown, payload)
+		payload = grown
+	}
+}
+
 // decodeFrame takes a payload apart; the frame's body shares its memory.
 func decodeFrame(payload []byte) (*frame, error) {
 	if len(payload) < frameTextsAt {
--- a/pipeline/body.go
+++ b/pipeline/body.go
@@ -6,7 +6,8 @@
 	"io"
 	"net/http"
 	"net/http/httputil"
-	"sync/atomic"
+
+	"github.com/gooseberryflow/gooseberryflow/internal/memory"
 )
 
 // chunkStep is how much of a body without a length is set aside at a time.
@@ -17,41 +18,17 @@
 	errNoRoom   = errors.New("no room for the body")
 )
 
-// Budget bounds the bytes of bodies that are held at a time; the zero value
-// holds none. It is safe for concurrent use.
-type Budget struct {
-	limit int64
-	held  atomic.Int64
-}
-
-// NewBudget returns a budget of some bytes.
-func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
-
-// Held returns the bytes that are held.
-func (b *Budget) Held() int64 { return b.held.Load() }
-
-// take sets bytes aside, if there is room.
-func (b *Budget) take(n int64) bool {
-	if b.held.Add(n) <= b.limit {
-		return true
-	}
-	b.held.Add(-n)
-	return false
-}
-
-func (b *Budget) release(n int64) { b.held.Add(-n) }
-
 // readBody reads the body of a request whose head has been consumed. The
 // bytes taken from the budget are returned with an error too; the caller
 // releases them.
-func readBody(in *headReader, r *http.Request, limit int64, budget *Budget) (body []byte, taken int64, err error) {
+func readBody(in *headReader, r *http.Request, limit int64, budget *memory.Budget) (body []byte, taken int64, err error) {
 	switch {
 	case r.ContentLength == 0:
 		return nil, 0, nil
 	case r.ContentLength > limit:
 		return nil, 0, errBodySize
 	case r.ContentLength > 0:
-		if !budget.take(r.ContentLength) {
+		if !budget.Take(r.ContentLength) {
 			return nil, 0, errNoRoom
 		}
 		body = make([]byte, r.ContentLength)
@@ -61,11 +38,11 @@
 	return readChunks(in, limit, budget)
 }
 
-func readChunks(in *headReader, limit int64, budget *Budget) (body []byte, taken int64, err error) {
+func readChunks(in *headReader, limit int64, budget *memory.Budget) (body []byte, taken int64, err error) {
 	chunks := httputil.NewChunkedReader(in.Reader)
 	for {
 		if len(body) == cap(body) {
-			if !budget.take(chunkStep) {
+			if !budget.Take(chunkStep) {
 				return nil, taken, errNoRoom
 			}
 			taken += chunkStep
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -106,15 +106,16 @@
 	c.mu.Lock()
 	again := c.left
 	c.left = true
-	var dropped int64
+	var bodies, answers int64
 	if !again {
-		dropped = c.line.drop()
+		bodies, answers = c.line.drop()
 	}
 	c.mu.Unlock()
 	if again {
 		return
 	}
-	c.server.options.Bodies.release(dropped)
+	c.server.options.Bodies.Release(bodies)
+	c.server.options.Answers.Release(answers)
 	c.cancel()
 	c.room.Broadcast()
 	_ = c.Conn.Close()
@@ -190,7 +191,7 @@
 		var err error
 		e.body, e.taken, err = readBody(&c.in, r, exchange.BodyBytes, c.server.options.Bodies)
 		if err != nil {
-			c.server.options.Bodies.release(e.taken)
+			c.server.options.Bodies.Release(e.taken)
 			if refusable(err) {
 				c.refuse(r, err)
 			} else {
@@ -244,7 +245,7 @@
 	c.mu.Unlock()
 	switch {
 	case !taken:
-		c.server.options.Bodies.release(e.taken)
+		c.server.options.Bodies.Release(e.taken)
 		return false
 	case starts:
 		requestWorkers.Run(func() { c.run(e) })
@@ -257,13 +258,26 @@
 // run serves one request and writes what answers are due.
 func (c *conn) run(e *entry) {
 	answer := c.serve(e)
-	c.server.options.Bodies.release(e.taken)
+	c.server.options.Bodies.Release(e.taken)
 	c.mu.Lock()
-	e.answer = answer
+	e.answer = c.hold(e, answer)
 	c.mu.Unlock()
 	c.flush()
 }
 
+// hold sets memory aside for an answer until it is written. It returns another
+// answer if there is none. c.mu is held.
+func (c *conn) hold(e *entry, answer *Response) *Response {
+	if c.left {
+		return answer // dropped with the connection
+	}
+	if !c.server.options.Answers.Take(int64(len(answer.Body))) {
+		return c.server.options.Handler.Refuse(nil, CauseAnswerRoom)
+	}
+	e.held = int64(len(answer.Body))
+	return answer
+}
+
 // serve keeps a handler that panics from ending the process.
 func (c *conn) serve(e *entry) (answer *Response) {
 	defer func() {
@@ -292,6 +306,8 @@
 		c.mu.Unlock()
 		err := c.write(e, last)
 		c.mu.Lock()
+		c.server.options.Answers.Release(e.held)
+		e.held = 0
 		if next := c.line.written(); next != nil {
 			requestWorkers.Run(func() { c.run(next) })
 		}
--- a/pipeline/head_test.go
+++ b/pipeline/head_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"testing"
 	"testing/iotest"
+
+	"github.com/gooseberryflow/gooseberryflow/internal/memory"
 )
 
 // heads reads as many requests as a stream holds and describes them.
@@ -22,7 +24,7 @@
 		if _, err := in.Discard(len(head)); err != nil {
 			return seen
 		}
-		body, _, err := readBody(&in, req, 1<<10, NewBudget(1<<20))
+		body, _, err := readBody(&in, req, 1<<10, memory.NewBudget(1<<20))
 		if err != nil {
 			return seen
 		}
--- a/pipeline/line.go
+++ b/pipeline/line.go
@@ -9,6 +9,8 @@
 	body     []byte
 	// taken is what the body holds of the budget.
 	taken int64
+	// held is what the answer holds of its budget until it is written.
+	held int64
 	// final is set when nothing is read after the request.
 	final  bool
 	answer *Response
@@ -66,15 +68,16 @@
 }
 
 // drop closes the line and takes the requests out that have not begun. It
-// returns what their bodies hold of the budget.
-func (l *line) drop() int64 {
+// returns what their bodies hold of their budget, and all answers of theirs.
+func (l *line) drop() (bodies, answers int64) {
 	l.closed = true
-	var taken int64
 	for _, e := range l.waiting {
 		if !e.begun {
 			e.begun = true
-			taken += e.taken
+			bodies += e.taken
 		}
+		answers += e.held
+		e.held = 0
 	}
-	return taken
+	return bodies, answers
 }
--- a/pipeline/line_test.go
+++ b/pipeline/line_test.go
@@ -79,7 +79,7 @@
 	held := &entry{exchange: &Exchange{Alone: true}, taken: 10}
 	l.add(running)
 	l.add(held)
-	if got := l.drop(); got != 10 {
+	if got, _ := l.drop(); got != 10 {
 		t.Errorf("%d bytes given back, want those of the one that has not begun", got)
 	}
 	running.answer = &Response{}
--- a/pipeline/memory_test.go
+++ b/pipeline/memory_test.go
@@ -9,6 +9,8 @@
 	"runtime"
 	"testing"
 	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/internal/memory"
 )
 
 // idleConnections is the number of connections that BenchmarkIdleConnection keeps.
@@ -25,7 +27,8 @@
 	}{
 		"net/http": &http.Server{Handler: http.HandlerFunc(answer)},
 		"pipeline": NewServer(Options{
-			Handler: &script{started: make(chan string, 2*idleConnections)}, ReadAhead: 4, HeadBytes: 4 << 10, Bodies: NewBudget(4 << 10),
+			Handler: &script{started: make(chan string, 2*idleConnections)}, ReadAhead: 4, HeadBytes: 4 << 10,
+			Bodies: memory.NewBudget(4 << 10), Answers: memory.NewBudget(answerBytes),
 			HeadTimeout: time.Minute, BodyTimeout: time.Minute, IdleTimeout: time.Minute, WriteTimeout: time.Minute,
 			Log: slog.New(slog.DiscardHandler),
 		}),
@@ -37,12 +40,12 @@
 				b.Fatal(err)
 			}
 			go func() { _ = s.Serve(l) }()
-			before := memory()
+			before := heapBytes()
 			conns := make([]net.Conn, 0, idleConnections)
 			for range idleConnections {
 				conns = append(conns, answeredOnce(b, l.Addr().String()))
 			}
-			b.ReportMetric(float64(memory()-before)/idleConnections, "B/connection")
+			b.ReportMetric(float64(heapBytes()-before)/idleConnections, "B/connection")
 			for _, c := range conns {
 				_ = c.Close()
 			}
@@ -67,7 +70,7 @@
 	return c
 }
 
-func memory() uint64 {
+func heapBytes() uint64 {
 	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
--- a/pipeline/request_test.go
+++ b/pipeline/request_test.go
@@ -73,6 +73,39 @@
 	c.expect(200, "POST /more "+body)
 }
 
+// Pattern: a caller asks for much ahead of an answer that takes long, and doesn't
+// read. Answers that wait are held within a budget; one beyond it is not, and its
+// caller gets an answer that promises nothing.
+func TestAnswersBeyondTheBudgetAreNotHeld(t *testing.T) {
+	r := newRig(t)
+	long := strings.Repeat("x", 1000)
+	c := r.dial()
+	c.send(get("/wait/0"))
+	for i := range 3 {
+		c.send(fmt.Sprintf("POST /more/%d HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n%s", i, long))
+	}
+	r.await(r.started, "/wait/0", "/more/0", "/more/1", "/more/2")
+	held := func() int64 { return r.server.options.Answers.Held() }
+	r.eventually("three answers wait", func() bool { return held() > 3*int64(len(long)) })
+	other := r.dial()
+	other.send("POST /close/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n" + long)
+	other.expect(504, "")
+	r.await(r.started, "/close/1")
+	r.release("/wait/0")
+	c.expect(200, "GET /wait/0 ")
+	for i := range 3 {
+		c.expect(200, fmt.Sprintf("POST /more/%d %s", i, long))
+	}
+	r.eventually("none is held", func() bool { return held() == 0 })
+
+	left := r.dial()
+	left.send(get("/wait/1") + get("/done"))
+	r.await(r.started, "/wait/1", "/done")
+	r.eventually("an answer waits", func() bool { return held() > 0 })
+	_ = left.Close()
+	r.eventually("a caller that leaves gives its answers back", func() bool { return held() == 0 })
+}
+
 // The caller is asked for a body only when no answer is due before it.
 func TestExpectContinue(t *testing.T) {
 	r := newRig(t)
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/internal/memory"
 )
 
 // Cause classifies requests that are refused before they are handled.
@@ -23,6 +25,9 @@
 	CauseBodySize
 	// CauseNoRoom is a body for which Options.Bodies has no room.
 	CauseNoRoom
+	// CauseAnswerRoom is an answer for which Options.Answers has no room; the
+	// request has run.
+	CauseAnswerRoom
 	// CauseFailed is a handler that panicked; the request may have run.
 	CauseFailed
 )
@@ -65,7 +70,9 @@
 	// yet answered.
 	ReadAhead int
 	HeadBytes int
-	Bodies    *Budget
+	// Bodies bounds the bodies of requests that are held, Answers those of answers
+	// that wait to be written.
+	Bodies, Answers *memory.Budget
 	// HeadTimeout bounds the time from a request's first byte to the end of its
 	// head, BodyTimeout from there to the end of its body, IdleTimeout the time
 	// between the last answer and the next request, WriteTimeout the writing of
--- a/pipeline/server_test.go
+++ b/pipeline/server_test.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/internal/memory"
 )
 
 // waitLimit bounds every wait; no test asserts how long one takes.
@@ -64,7 +66,7 @@
 
 func (s *script) Refuse(_ *http.Request, cause Cause) *Response {
 	status := map[Cause]int{
-		CauseMalformed: 400, CauseHeadSize: 431, CauseBodySize: 413, CauseNoRoom: 503, CauseFailed: 502,
+		CauseMalformed: 400, CauseHeadSize: 431, CauseBodySize: 413, CauseNoRoom: 503, CauseFailed: 502, CauseAnswerRoom: 504,
 	}[cause]
 	return text(status, "", true)
 }
@@ -80,12 +82,15 @@
 	address string
 }
 
+// answerBytes is what answers may take that wait to be written.
+const answerBytes = 4000
+
 func newRig(t *testing.T) *rig { return newRigWith(t, 4<<10) }
 
 func newRigWith(t *testing.T, bodyBytes int64) *rig {
 	s := &script{started: make(chan string, 100), cancelled: make(chan string, 100), gates: map[string]chan struct{}{}}
 	r := &rig{T: t, script: s, server: NewServer(Options{
-		Handler: s, ReadAhead: 4, HeadBytes: 4 << 10, Bodies: NewBudget(bodyBytes),
+		Handler: s, ReadAhead: 4, HeadBytes: 4 << 10, Bodies: memory.NewBudget(bodyBytes), Answers: memory.NewBudget(answerBytes),
 		HeadTimeout: time.Minute, BodyTimeout: time.Minute, IdleTimeout: time.Minute, WriteTimeout: time.Minute,
 		Log: slog.New(slog.DiscardHandler),
 	})}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -47,7 +47,7 @@
 		"store-cut", "store-silence", "compact", "rebalance", "link-delay", "link-cut", "link-silence", "link-reset",
 		"answers-lost", "answers-short", "answers-extra", "rejects", "leave", "change", "storm", "withdraw", "withdraw",
 	}
-	kinds = append(slices.Clone(firstKinds), "answers-early", "silence")
+	kinds = append(slices.Clone(firstKinds), "answers-early", "silence", "answers-endless", "store-endless")
 )
 
 // schedule draws the events of a run.
@@ -102,7 +102,7 @@
 			running.Go(func() { x.inject(event{kind: "kill", lasts: e.lasts / 4, node: i}); _ = n })
 		}
 		running.Wait()
-	case "store-down", "store-silent", "store-slow", "store-lose", "store-late":
+	case "store-down", "store-silent", "store-slow", "store-lose", "store-late", "store-endless":
 		x.onStore(e)
 	case "store-cut":
 		x.onProxy(e, n.toStore, faultproxy.Faults{Cut: true}, faultproxy.ToTarget, faultproxy.ToClient)
@@ -134,6 +134,8 @@
 		x.onInstance(e, n, standin.FaultEarly)
 	case "silence":
 		x.onInstance(e, n, standin.FaultSilent)
+	case "answers-endless":
+		x.onInstance(e, n, standin.FaultEndless)
 	case "leave":
 		x.leave(n)
 	default:
@@ -215,6 +217,8 @@
 			x.store.Silent = on
 		case "store-slow":
 			x.store.Slow = map[bool]time.Duration{true: storeSlow}[on]
+		case "store-endless":
+			x.store.Endless = on
 		case "store-lose":
 			x.store.LoseWrites = on
 		case "store-late":
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -92,7 +92,7 @@
 	daemontest.Daemon
 
 	// faulty is the probability in thousands of a fault at the instance.
-	faulty   [standin.FaultSilent + 1]atomic.Int64
+	faulty   [standin.FaultEndless + 1]atomic.Int64
 	faultMu  sync.Mutex
 	faultRNG *rand.Rand
 
@@ -205,7 +205,7 @@
 	n.faultMu.Lock()
 	defer n.faultMu.Unlock()
 	draw := n.faultRNG.Int64N(1000)
-	for fault := standin.FaultReject; fault <= standin.FaultSilent; fault++ {
+	for fault := standin.FaultReject; fault <= standin.FaultEndless; fault++ {
 		if draw -= n.faulty[fault].Load(); draw < 0 {
 			return fault
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -80,11 +80,16 @@
 	if !recovered {
 		found["recover"] = append(found["recover"], fmt.Sprintf("less than %g is served %s after the faults", recoveryPart, recoveryTime))
 	}
+	unbounded := f.store.Endless.Unbounded.Load()
 	for _, n := range f.nodes {
+		unbounded += n.instance.Endless.Unbounded.Load()
 		if spoiled := n.instance.Spoiled.Load(); spoiled > 0 {
 			found["body"] = append(found["body"], fmt.Sprintf("%d bodies at %s were other bytes", spoiled, n.name))
 		}
 	}
+	if unbounded > 0 {
+		found["bound"] = append(found["bound"], fmt.Sprintf("%d answers without end were read to their end", unbounded))
+	}
 	if t.Failed() || len(found) > 0 {
 		f.keepLogs()
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -25,6 +24,8 @@
 	maxForeign = 4
 	// readSlack keeps the read deadline behind the context's own.
 	readSlack = time.Second
+	// exchangeTimeout bounds an exchange whose context has no deadline.
+	exchangeTimeout = time.Minute
 )
 
 var (
@@ -60,13 +61,15 @@
 
 type conn struct {
 	net    *net.TCPConn
+	meter  *meter
 	reader *bufio.Reader
 	usedAt time.Time
 	keep   time.Duration
 }
 
 func newConn(nc *net.TCPConn) *conn {
-	return &conn{net: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), usedAt: time.Now(), keep: defaultIdle}
+	m := &meter{in: nc}
+	return &conn{net: nc, meter: m, reader: bufio.NewReaderSize(m, readBufferBytes), usedAt: time.Now(), keep: defaultIdle}
 }
 
 func (c *conn) close() { _ = c.net.Close() }
@@ -93,11 +96,11 @@
 
 // exchange writes the request and reads its answer.
 func (c *conn) exchange(ctx context.Context, r *Request, p *Pool) (*Response, error) {
+	limit := time.Now().Add(exchangeTimeout)
 	if deadline, ok := ctx.Deadline(); ok {
-		_ = c.net.SetDeadline(deadline.Add(readSlack))
-	} else {
-		_ = c.net.SetDeadline(time.Time{})
+		limit = deadline.Add(readSlack)
 	}
+	_ = c.net.SetDeadline(limit)
 	stop := context.AfterFunc(ctx, c.close)
 	defer stop()
 	written, err := c.send(r)
@@ -140,64 +143,6 @@
 	return written, err
 }
 
-// receive reads answers until one echoes the request's ID.
-func (c *conn) receive(r *Request, p *Pool) (*Response, error) {
-	for range maxForeign {
-		resp, err := c.readAnswer(r, p.limits.AnswerBytes)
-		if err != nil {
-			return nil, err
-		}
-		if r.ID == "" || resp.Header.Get(r.IDHeader) == r.ID {
-			return resp, nil
-		}
-		p.Foreign.Add(1)
-		if resp.closing {
-			return nil, fmt.Errorf("%w: it belongs to another request", errMalformed)
-		}
-	}
-	return nil, fmt.Errorf("%w: too many answers to other requests", errMalformed)
-}
-
-func (c *conn) readAnswer(r *Request, limit int64) (*Response, error) {
-	for {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
-			continue
-		}
-		body, err := readBody(resp, limit)
-		if err != nil {
-			return nil, err
-		}
-		return &Response{
-			Status:  resp.StatusCode,
-			Header:  resp.Header,
-			Body:    body,
-			closing: resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
-			keep:    keepAliveOf(resp.Header),
-		}, nil
-	}
-}
-
-func readBody(resp *http.Response, limit int64) ([]byte, error) {
-	defer func() { _ = resp.Body.Close() }()
-	if resp.ContentLength > limit {
-		return nil, fmt.Errorf("%w: body of %d bytes", errMalformed, resp.ContentLength)
-	}
-	if resp.ContentLength >= 0 {
-		body := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		return nil, fmt.Errorf("%w: body above %d bytes", errMalformed, limit)
-	}
-	return body, err
-}
-
 // keepAliveOf returns how long the instance keeps an idle connection, less a
 // margin; zero when it doesn't say.
 func keepAliveOf(h http.Header) time.Duration {
--- /dev/null
+++ b/upstream/endless_test.go
@@ -0,0 +1,128 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/internal/memory"
+)
+
+const (
+	endlessBytes = 64 << 20
+	// endlessMost is what an endless answer may cost: the largest body with its
+	// growth, and heads. The instance's own side allocates next to nothing.
+	endlessMost = 6 << 20
+	// endlessTaken bounds what is taken from the instance: chunks of one byte, a
+	// head, and what the sockets between hold.
+	endlessTaken = chunkFactor<<20 + headBytes + 12<<20
+)
+
+// Pattern: bytes that are no answer come without end, in a head or a body, until
+// the caller closes. The exchange ends at once or with its deadline, may have
+// run, and costs no more than an answer may.
+func TestAnswersWithoutEnd(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: a\r\n"
+	cases := map[string]struct{ first, again string }{
+		"bytes that are no answer": {"", "rubbish "},
+		"lines that are no answer": {"", "rubbish\r\n"},
+		"status line":              {"HTTP/1.1 200 ", "fine "},
+		"one header line":          {head + "X-Long: ", "long"},
+		"header fields":            {head, "X-More: more\r\n"},
+		"one folded header line":   {head + "X-Long: a\r\n", " folded\r\n"},
+		"interim answers":          {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"interim answer's fields":  {"HTTP/1.1 103 Early Hints\r\n", "Link: more\r\n"},
+		"chunks":                   {head + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nmore\r\n"},
+		"chunks of one byte":       {head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		"chunk extension":          {head + "Transfer-Encoding: chunked\r\n\r\n4;", "more"},
+		"trailer":                  {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: more\r\n"},
+		"trailer line":             {head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-More: ", "more"},
+		"body without a length":    {head + "Connection: close\r\n\r\n", "more"},
+		"body beyond the bound":    {head + "Content-Length: 60000000\r\n\r\n", "more"},
+		"answers to other requests": {"", strings.ReplaceAll(head, ": a", ": b") +
+			"Content-Length: 100000\r\n\r\n" + strings.Repeat("x", 100000)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var taken atomic.Int64
+			ended := make(chan struct{})
+			block := []byte(strings.Repeat(c.again, 1+(32<<10)/len(c.again)))
+			p := instance(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				defer close(ended)
+				_, _ = io.WriteString(conn, c.first)
+				for taken.Load() < endlessBytes {
+					n, err := conn.Write(block)
+					taken.Add(int64(n))
+					if err != nil {
+						break
+					}
+				}
+				return false
+			})
+			p.limits.Answers = memory.NewBudget(2 << 20)
+			ctx, stop := context.WithTimeout(t.Context(), time.Minute)
+			defer stop()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			resp, err := p.Do(ctx, request("a"))
+			runtime.ReadMemStats(&after)
+			if !errors.Is(err, ErrBroken) || errors.Is(err, ErrNotSent) || ctx.Err() != nil {
+				t.Fatalf("%v %v", resp, err)
+			}
+			if cost := after.TotalAlloc - before.TotalAlloc; cost > endlessMost {
+				t.Errorf("%d KB allocated", cost>>10)
+			}
+			<-ended // the connection is closed, not drained
+			if n := taken.Load(); n > endlessTaken {
+				t.Errorf("%d KB taken from the instance", n>>10)
+			}
+			if held := p.limits.Answers.Held(); held != 0 {
+				t.Errorf("%d bytes are still held", held)
+			}
+		})
+	}
+}
+
+// An answer that comes too slowly ends with the call's deadline.
+func TestTricklingAnswerEndsWithTheDeadline(t *testing.T) {
+	ended := make(chan struct{})
+	p := instance(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		defer close(ended)
+		for {
+			if _, err := io.WriteString(conn, "x"); err != nil {
+				return false
+			}
+			time.Sleep(time.Millisecond)
+		}
+	})
+	ctx, stop := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer stop()
+	if resp, err := p.Do(ctx, request("a")); !errors.Is(err, ErrBroken) {
+		t.Errorf("%v %v", resp, err)
+	}
+	<-ended
+}
+
+// Several large answers at a time are read within a budget.
+func TestAnswersBeyondTheBudget(t *testing.T) {
+	p := instance(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		_, _ = io.WriteString(conn, whole(r.Header.Get(idHeader), strings.Repeat("x", 1000)))
+		return true
+	})
+	p.limits.Answers = memory.NewBudget(1500)
+	p.limits.Answers.Take(1000)
+	if resp, err := p.Do(t.Context(), request("a")); !errors.Is(err, ErrBroken) || errors.Is(err, ErrDown) {
+		t.Errorf("beyond the budget: %v %v", resp, err)
+	}
+	p.limits.Answers.Release(1000)
+	if _, err := p.Do(t.Context(), request("b")); err != nil || p.limits.Answers.Held() != 0 {
+		t.Errorf("within the budget: %v, %d held", err, p.limits.Answers.Held())
+	}
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -39,12 +39,6 @@
 	freshIdle = 50 * time.Millisecond
 )
 
-// Limits bound what the pool holds.
-type Limits struct {
-	// AnswerBytes bounds the body of an answer.
-	AnswerBytes int64
-}
-
 // Pool holds the connections to one address. It is safe for concurrent use.
 type Pool struct {
 	address string
