Store: an incarnation in every answer; what rests on its order is ordered by it

The users: the store may come back from a copy some seconds old. What is written there since is gone, offsets and generations are given out again. Client: the incarnation of every answer (errors, long polls) is noted; one of an earlier incarnation is dropped. Without the header nothing changes. Pools: ordered by incarnation, then generation (the unsigned difference of generations is gone); a tenure ends with its incarnation, a pool kept begins empty, one gained begins after the earlier owners' term. Soak: the store comes back from a copy, beside kill, pause, stop and cut.

--- a/directory/ask.go
+++ b/directory/ask.go
@@ -24,6 +24,8 @@
 	Own  Record `cbor:"3,keyasint"`
 	// MembersNext is the offset from which on records are asked for.
 	MembersNext uint64 `cbor:"4,keyasint"`
+	// Incarnation is that of the store which MembersNext belongs to.
+	Incarnation uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // answer carries what the peer knows beyond the question.
@@ -36,6 +38,10 @@
 	SilenceMS   int64             `cbor:"6,keyasint"`
 	Records     map[string]stored `cbor:"4,keyasint,omitempty"`
 	MembersNext uint64            `cbor:"5,keyasint"`
+	// Incarnation is that of the store which MembersNext belongs to; Whole is set if
+	// Records are all.
+	Incarnation uint64 `cbor:"7,keyasint,omitempty"`
+	Whole       bool   `cbor:"8,keyasint,omitempty"`
 }
 
 // ask turns to peers anywhere while neither the store nor the own failure
@@ -45,7 +51,7 @@
 		if d.Age() < askAfter {
 			continue
 		}
-		for _, m := range d.somePeers() {
+		for _, m := range d.somePeers(askPeers) {
 			if _, err := d.askOne(ctx, m); err != nil {
 				d.options.Log.Debug("peer not asked", "peer", string(m.ID), "error", err)
 			}
@@ -53,8 +59,8 @@
 	}
 }
 
-// somePeers draws nodes at random, with and without an instance.
-func (d *Directory) somePeers() []state.Member {
+// somePeers draws up to n nodes at random, with and without an instance.
+func (d *Directory) somePeers(n int) []state.Member {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	all := make([]state.Member, 0, len(d.records))
@@ -63,11 +69,12 @@
 			all = append(all, r.Record.Member)
 		}
 	}
-	for i := 0; i < min(askPeers, len(all)); i++ {
+	n = min(n, len(all))
+	for i := range n {
 		j := i + int(d.options.Rand()%uint64(len(all)-i))
 		all[i], all[j] = all[j], all[i]
 	}
-	return all[:min(askPeers, len(all))]
+	return all[:n]
 }
 
 // askOne takes in what a peer knows. It returns how long ago the store was
@@ -77,7 +84,7 @@
 	defer stop()
 	q := question{Version: d.Snapshot().Version, Name: d.options.Name}
 	d.mu.Lock()
-	q.MembersNext = d.membersNext
+	q.MembersNext, q.Incarnation = d.membersNext, d.membersIncarnation
 	if d.own != nil && !d.written {
 		q.Own = *d.own
 	}
@@ -107,11 +114,20 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.meet(a.Incarnation, "peer")
 	changed := false
 	for name, r := range a.Records {
 		changed = d.mergeRecord(name, r) || changed
 	}
-	d.membersNext = max(d.membersNext, a.MembersNext)
+	if a.Incarnation == d.incarnation {
+		if a.Whole && d.membersIncarnation < a.Incarnation {
+			own, seen := a.Records[d.options.Name]
+			d.synced(a.Incarnation, seen && own.Incarnation == a.Incarnation)
+		}
+		if d.membersIncarnation == a.Incarnation {
+			d.membersNext = max(d.membersNext, a.MembersNext)
+		}
+	}
 	if changed {
 		d.publishMembers()
 	}
@@ -122,32 +138,37 @@
 // is as new. It reports a change. d.mu is held.
 func (d *Directory) mergeRecord(name string, r stored) bool {
 	if name == d.options.Name && d.own != nil {
-		if r.Offset > d.ownOffset {
-			d.takeRecord(name, r)
+		switch {
+		case d.ownPlace.behind(r) && r.Incarnation >= d.incarnation:
+			d.takeOwn(r)
+		case r.Record.Member.ID != d.own.Member.ID:
+			d.recall(r.Record)
 		}
 		return false
 	}
 	old, known := d.records[name]
 	switch {
 	case !known:
-	case r.Offset > 0 && r.Offset <= old.Offset:
-		return false
+		// A node that was dropped comes back by its own word or by the store's.
+		if r.fellOut(d.membersIncarnation) && d.pruneAt == 0 {
+			return false
+		}
+	case r.Offset > 0 && !old.behind(r):
+		if !newer(r.Record, old.Record) {
+			return false
+		}
+		r.Offset, r.Incarnation = old.Offset, old.Incarnation
 	case r.Offset == 0 && !newer(r.Record, old.Record):
-		return false
+		if newer(old.Record, r.Record) || !old.fellOut(d.incarnation) {
+			return false
+		}
+	default:
+		r = r.over(old)
 	}
 	d.records[name] = r
 	return true
 }
 
-// newer compares two records of one node that did not come in the store's
-// order: by the start of the incarnation, then by what only ever happens once.
-func newer(a, b Record) bool {
-	if a.Member.AnnouncedMS != b.Member.AnnouncedMS {
-		return a.Member.AnnouncedMS > b.Member.AnnouncedMS
-	}
-	return a.Member.ID == b.Member.ID && a.Member.Draining && !b.Member.Draining
-}
-
 // onAsk answers a peer and takes in its own record.
 func (d *Directory) onAsk(_ context.Context, _ state.MemberID, q question) (answer, error) {
 	// The age is read first: it then never vouches for less than the version.
@@ -159,19 +180,24 @@
 		a.Document = d.document
 	}
 	a.Records = map[string]stored{}
+	a.MembersNext, a.Incarnation = d.membersNext, d.membersIncarnation
+	from := q.MembersNext
+	if q.Incarnation != a.Incarnation {
+		from = 0
+	}
+	a.Whole = from == 0
 	for name, r := range d.records {
-		if r.Offset >= q.MembersNext || r.Offset == 0 {
+		if r.Offset >= from || r.Offset == 0 || r.Incarnation < a.Incarnation {
 			a.Records[name] = r
 		}
 	}
-	if d.own != nil && (d.ownOffset >= q.MembersNext || !d.written) {
-		offset := d.ownOffset
-		if !d.written {
-			offset = 0
+	if d.own != nil && (d.ownPlace.Offset >= from || !d.written) {
+		own := stored{Record: *d.own}
+		if d.written {
+			own.Offset, own.Incarnation = d.ownPlace.Offset, d.ownPlace.Incarnation
 		}
-		a.Records[d.options.Name] = stored{Record: *d.own, Offset: offset}
+		a.Records[d.options.Name] = own
 	}
-	a.MembersNext = d.membersNext
 	if q.Name != "" && q.Own.Member.AnnouncedMS > 0 && d.mergeRecord(q.Name, stored{Record: q.Own}) {
 		d.publishMembers()
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/gooseberryflow/gooseberryflow/config"
 	"github.com/gooseberryflow/gooseberryflow/internal/boottime"
 	"github.com/gooseberryflow/gooseberryflow/internal/wait"
@@ -100,46 +98,24 @@
 	membersNext uint64
 	avoid       map[string]time.Time // peers that did not answer, until when
 	own         *Record
-	ownOffset   uint64 // of the own name's record in the store
+	ownPlace    stored // of the own name's record in the store
 	previous    Record // the own name's record by an earlier process
 	written     bool   // the own record is in the store as it should be
+	writtenIn   uint64 // the incarnation of the store then
 	wake        chan struct{}
-}
+	restored
 
-// Record is what a node says of itself and of the instance beside it.
-type Record struct {
-	Member state.Member `cbor:"1,keyasint"`
-	// Present is false while there is no instance to send calls to.
-	Present bool `cbor:"2,keyasint,omitempty"`
-	// Pools lists the partitions of customers' rates that the node owns, and
-	// PoolTerm the generation in which it got them.
-	Pools    []int  `cbor:"3,keyasint,omitempty"`
-	PoolTerm uint64 `cbor:"4,keyasint,omitempty"`
-	// Needs is what the node has learnt of the runs at its instance.
-	Needs state.Needs `cbor:"5,keyasint,omitempty"`
-	// Instance is the instance that was beside the node last.
-	Instance Instance `cbor:"6,keyasint,omitempty"`
-}
-
-// Instance is one incarnation of an instance.
-type Instance struct {
-	ID string `cbor:"1,keyasint,omitempty"`
-	// BornMS is its start in Unix milliseconds, zero if it isn't known.
-	BornMS int64 `cbor:"2,keyasint,omitempty"`
-	// Left is set once it has said that it leaves.
-	Left bool `cbor:"3,keyasint,omitempty"`
-}
-
-// stored is a record with its place in the store; zero for one that has come
-// from its node itself.
-type stored struct {
-	Record Record `cbor:"1,keyasint"`
-	Offset uint64 `cbor:"2,keyasint,omitempty"`
+	// membersRead is closed once the members have been read.
+	membersRead chan struct{}
+	membersOnce sync.Once
 }
 
 // New returns a directory without knowledge.
 func New(o Options) *Directory {
-	d := &Directory{options: o, records: map[string]stored{}, avoid: map[string]time.Time{}, wake: make(chan struct{}, 1)}
+	d := &Directory{
+		options: o, records: map[string]stored{}, avoid: map[string]time.Time{}, wake: make(chan struct{}, 1),
+		membersRead: make(chan struct{}),
+	}
 	d.snapshot.Store((&state.Snapshot{Members: map[state.MemberID]state.Member{}}).Index())
 	return d
 }
@@ -179,7 +155,7 @@
 	var running sync.WaitGroup
 	running.Go(follow(&follower{
 		topic: topics.Config, wait: d.options.configWait(), settle: configSettle, backoff: d.backoff,
-		apply: d.applyConfig, resume: d.resumeConfig,
+		first: d.consult, apply: d.applyConfig, resume: d.resumeConfig,
 	}))
 	running.Go(follow(&follower{
 		topic: topics.Members, wait: membersWait, gather: gatherDelay, settle: settleDelay, backoff: d.backoff,
@@ -201,12 +177,21 @@
 	}
 }
 
-func (d *Directory) applyConfig(items []Item, next uint64, sent boottime.Instant) {
-	for old := d.configNext.Load(); next > old && !d.configNext.CompareAndSwap(old, next); {
+// applyConfig takes in a page of the configuration's topic.
+func (d *Directory) applyConfig(page Page, whole bool, sent boottime.Instant) {
+	d.mu.Lock()
+	d.meet(page.Incarnation, "store")
+	late := page.Incarnation < d.incarnation
+	vouches := !late && d.vouches(page, whole, sent)
+	d.mu.Unlock()
+	if late {
+		return
+	}
+	for old := d.configNext.Load(); page.End > old && !d.configNext.CompareAndSwap(old, page.End); {
 		old = d.configNext.Load()
 	}
 	taken := true
-	for _, i := range items {
+	for _, i := range page.Items {
 		if i.Key == d.options.Topics.ConfigKey && len(i.Value) > 0 {
 			taken = d.take(i.Value, "store")
 		}
@@ -217,13 +202,17 @@
 		return
 	}
 	advance(&d.heard, boottime.Now())
-	if d.Snapshot().Config != nil {
+	if vouches && d.Snapshot().Config != nil {
 		advance(&d.contact, sent)
 	}
 }
 
 // resumeConfig lets the follower of the configuration run while this node leads.
-func (d *Directory) resumeConfig() (uint64, bool) { return d.configNext.Load(), d.leading.Load() }
+func (d *Directory) resumeConfig() (resumption, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return resumption{next: d.configNext.Load(), incarnation: d.incarnation}, d.leading.Load()
+}
 
 // take puts a document in force unless it is older than the one at hand. It
 // reports whether the configuration in force is at least as new as the document.
@@ -238,6 +227,7 @@
 		return false
 	}
 	if version <= d.Snapshot().Version {
+		d.doubt(version, from)
 		return d.rejected <= d.Snapshot().Version
 	}
 	d.document = document
@@ -252,11 +242,11 @@
 
 // resumeMembers lets the follower of the members run while this node leads and
 // the store answers.
-func (d *Directory) resumeMembers() (uint64, bool) {
+func (d *Directory) resumeMembers() (resumption, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	answers := d.silence() < storeSilence || d.Snapshot().Config == nil
-	return d.membersNext, d.leading.Load() && answers
+	return resumption{next: d.membersNext, incarnation: d.incarnation}, d.leading.Load() && answers
 }
 
 // backoff lengthens the pause between calls to a lost store for nodes that
@@ -268,146 +258,6 @@
 	return max(pause, outageRetry+time.Duration(d.options.Rand()%uint64(outageRetry/2)))
 }
 
-func (d *Directory) applyMembers(items []Item, next uint64, _ boottime.Instant) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.membersNext = max(d.membersNext, next)
-	if len(items) == 0 {
-		return
-	}
-	for _, i := range items {
-		d.applyRecord(i)
-	}
-	d.publishMembers()
-}
-
-func (d *Directory) applyRecord(i Item) {
-	if old, known := d.records[i.Key]; known && old.Offset > i.Offset {
-		return
-	}
-	if len(i.Value) == 0 {
-		delete(d.records, i.Key)
-		return
-	}
-	var r Record
-	if err := cbor.Unmarshal(i.Value, &r); err != nil {
-		d.options.Log.Warn("member record not understood", "key", i.Key, "error", err)
-		return
-	}
-	d.takeRecord(i.Key, stored{Record: r, Offset: i.Offset})
-}
-
-// takeRecord puts a record from the store in place. d.mu is held.
-func (d *Directory) takeRecord(name string, s stored) {
-	r := s.Record
-	if name == d.options.Name && d.own != nil {
-		d.ownOffset = max(d.ownOffset, s.Offset)
-		if r.Member.ID != d.own.Member.ID {
-			d.previous = r
-			if d.options.Recall != nil {
-				go d.options.Recall(r.Instance) // it may announce a change
-			}
-			if d.own.Needs == nil && r.Member.Service == d.own.Member.Service {
-				own := *d.own
-				own.Needs = r.Needs
-				d.own = &own
-			}
-		}
-		d.written = sameRecord(r, *d.own)
-		if !d.written {
-			d.signal()
-		}
-		return
-	}
-	d.records[name] = s
-}
-
-// recordMode encodes equal records to equal bytes: maps have an order of their own.
-var recordMode = func() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic("directory: " + err.Error()) // the options are constant
-	}
-	return mode
-}()
-
-func sameRecord(a, b Record) bool {
-	x, errX := recordMode.Marshal(a)
-	y, errY := recordMode.Marshal(b)
-	return errX == nil && errY == nil && string(x) == string(y)
-}
-
-// publishMembers makes a snapshot from the records. d.mu is held.
-func (d *Directory) publishMembers() {
-	members := make(map[state.MemberID]state.Member, len(d.records)+1)
-	pools := map[int]state.PoolOwner{}
-	var needs []state.Needs
-	for _, r := range d.records {
-		addRecord(members, pools, r.Record)
-		needs = append(needs, r.Record.Needs)
-	}
-	if d.own != nil {
-		addRecord(members, pools, *d.own)
-		needs = append(needs, d.own.Needs)
-	}
-	d.publish(func(s *state.Snapshot) {
-		s.Members = members
-		s.Pools = pools
-		s.Needs = mergeNeeds(needs)
-		s.Nodes = len(d.records)
-		if d.own != nil {
-			s.Nodes++
-		}
-	})
-}
-
-// mergeNeeds keeps the needs that at least half of those have learnt who know
-// anything of a route, and takes their mean.
-func mergeNeeds(all []state.Needs) state.Needs {
-	knowing := map[string]int{}
-	naming := map[[2]string]int{}
-	sum := map[[2]string]int{}
-	for _, needs := range all {
-		for route, calls := range needs {
-			knowing[route]++
-			for call, n := range calls {
-				naming[[2]string{route, call}]++
-				sum[[2]string{route, call}] += n
-			}
-		}
-	}
-	merged := state.Needs{}
-	for key, n := range naming {
-		route, call := key[0], key[1]
-		if 2*n < knowing[route] {
-			continue
-		}
-		if merged[route] == nil {
-			merged[route] = map[string]int{}
-		}
-		merged[route][call] = sum[key] / n
-	}
-	return merged
-}
-
-func addRecord(members map[state.MemberID]state.Member, pools map[int]state.PoolOwner, r Record) {
-	if r.Present {
-		members[r.Member.ID] = r.Member
-	}
-	for _, p := range r.Pools {
-		if old, ok := pools[p]; !ok || old.Term < r.PoolTerm {
-			pools[p] = state.PoolOwner{Member: r.Member, Term: r.PoolTerm}
-		}
-	}
-}
-
-// publish makes the next snapshot. d.mu is held.
-func (d *Directory) publish(change func(*state.Snapshot)) {
-	next := *d.Snapshot()
-	change(&next)
-	d.snapshot.Store(next.Index())
-}
-
 // Announce changes the node's own record and has it written.
 func (d *Directory) Announce(change func(*Record)) {
 	d.mu.Lock()
@@ -418,10 +268,13 @@
 	}
 	next := *d.own
 	change(&next)
+	next.Member.AnnouncedMS = max(next.Member.AnnouncedMS, d.own.Member.AnnouncedMS)
 	if sameRecord(next, *d.own) {
 		return
 	}
+	next.Revision++
 	d.own = &next
+	d.succeed()
 	d.written = false
 	d.publishMembers()
 	d.signal()
@@ -451,7 +304,7 @@
 			return
 		case <-d.wake:
 		}
-		wait.For(ctx, writeDelay)
+		wait.For(ctx, writeDelay+d.rewriteDelay())
 		for !d.writeOnce(ctx) && ctx.Err() == nil {
 			wait.For(ctx, delay)
 			delay = min(2*delay, writeRetryMax)
@@ -473,6 +326,7 @@
 	}
 	call, stop := context.WithTimeout(ctx, callTimeout)
 	defer stop()
+	incarnation := d.options.Store.Incarnation()
 	if err := d.options.Store.Put(call, d.options.Topics.Members, d.options.Name, value); err != nil {
 		d.options.Log.Warn("own record not written", "error", err)
 		return false
@@ -481,5 +335,17 @@
 	defer d.mu.Unlock()
 	now, _ := recordMode.Marshal(*d.own)
 	d.written = string(now) == string(value)
+	d.writtenIn = incarnation
 	return d.written
 }
+
+// rewriteDelay spreads the writes of all nodes after the store has come back.
+func (d *Directory) rewriteDelay() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.pruneAt == 0 && !d.untrusted {
+		return 0
+	}
+	spread := min(time.Duration(len(d.records))*rewriteSpread, rewriteSpreadMax)
+	return time.Duration(d.options.Rand() % uint64(spread+1))
+}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -74,7 +74,7 @@
 		document string
 		want     uint64
 	}{{"5 golf", 5}, {"3 camp", 5}, {"5 camp", 5}, {"9 bad", 5}, {"x", 5}, {"7 camp", 7}} {
-		d.applyConfig(document(step.document), 1, boottime.Now())
+		d.applyConfig(Page{Items: document(step.document), End: 1}, false, boottime.Now())
 		if got := d.Snapshot().Version; got != step.want {
 			t.Errorf("after %q: version %d, want %d", step.document, got, step.want)
 		}
@@ -86,13 +86,13 @@
 func TestUnreadableDocumentIsNotVouchedFor(t *testing.T) {
 	d, _ := newNode("a", "x", map[string]*fakePeers{})
 	start := boottime.Now().Add(-time.Minute)
-	d.applyConfig(document("5 golf"), 1, start)
+	d.applyConfig(Page{Items: document("5 golf"), End: 1}, false, start)
 	before := d.contact.Load()
-	d.applyConfig(document("9 bad"), 2, start.Add(time.Second))
+	d.applyConfig(Page{Items: document("9 bad"), End: 2}, false, start.Add(time.Second))
 	if d.contact.Load() != before {
 		t.Error("vouched for by the read of an unreadable document")
 	}
-	d.applyConfig(document("11 golf"), 3, start.Add(2*time.Second))
+	d.applyConfig(Page{Items: document("11 golf"), End: 3}, false, start.Add(2*time.Second))
 	if d.contact.Load() == before {
 		t.Error("not vouched for by a newer document")
 	}
@@ -104,7 +104,7 @@
 	nodes := map[string]*fakePeers{}
 	a, _ := newNode("a", "x", nodes)
 	b, _ := newNode("b", "x", nodes)
-	a.applyConfig(document("5 golf"), 1, boottime.Now().Add(-time.Second))
+	a.applyConfig(Page{Items: document("5 golf"), End: 1}, false, boottime.Now().Add(-time.Second))
 	if _, err := b.askOne(t.Context(), state.Member{ID: "a#1", CallAddr: "a"}); err != nil {
 		t.Fatal(err)
 	}
@@ -141,7 +141,7 @@
 				d.records[other.options.Name] = stored{Record: *other.own, Offset: 1}
 			}
 		}
-		d.applyConfig(document("5 golf"), 1, boottime.Now())
+		d.applyConfig(Page{Items: document("5 golf"), End: 1}, false, boottime.Now())
 	}
 	leaders := func() []string {
 		var names []string
@@ -178,7 +178,7 @@
 
 func TestRecordsThatCannotBeReadNameNobody(t *testing.T) {
 	d, _ := newNode("a", "x", map[string]*fakePeers{})
-	d.applyMembers([]Item{{Key: "b", Value: []byte("rubbish"), Offset: 3}, {Key: "c", Offset: 4}}, 5, 0)
+	d.applyMembers(Page{Items: []Item{{Key: "b", Value: []byte("rubbish"), Offset: 3}, {Key: "c", Offset: 4}}, End: 5}, false, 0)
 	if len(d.Snapshot().Members) != 0 {
 		t.Errorf("members %v", d.Snapshot().Members)
 	}
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -29,30 +29,41 @@
 	gather, settle time.Duration
 	// backoff lengthens the pause after a failed call; nil leaves it as it is.
 	backoff func(time.Duration) time.Duration
-	apply   func(items []Item, next uint64, sent boottime.Instant)
+	// first is called between the first reading and its use; it may be nil.
+	first func(ctx context.Context)
+	// apply takes in a page of the tail, or of all newest records.
+	apply func(page Page, whole bool, sent boottime.Instant)
 	// resume returns false while somebody else follows the topic for this node,
-	// and otherwise the offset that is known by then.
-	resume func() (uint64, bool)
+	// and otherwise what is known by then.
+	resume func() (resumption, bool)
 	log    *slog.Logger
 
-	next   uint64
-	synced bool
-	paused bool // the next poll doesn't wait
-	lost   bool
+	next        uint64
+	incarnation uint64 // of the store that next belongs to
+	synced      bool
+	begun       bool // has been synced
+	paused      bool // the next poll doesn't wait
+	lost        bool
+}
+
+// resumption is where to go on following a topic.
+type resumption struct {
+	next        uint64
+	incarnation uint64
 }
 
 // run follows the topic until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	delay := retryMin
 	for ctx.Err() == nil {
-		if f.synced && f.resume != nil {
-			next, ok := f.resume()
+		if f.begun && f.resume != nil {
+			known, ok := f.resume()
 			if !ok {
 				f.paused = true
 				wait.For(ctx, pausePoll)
 				continue
 			}
-			f.next = max(f.next, next)
+			f.catchUp(known)
 		}
 		err := f.step(ctx)
 		if err == nil {
@@ -73,6 +84,17 @@
 	}
 }
 
+// catchUp goes on from what is known elsewhere in this node. All newest records
+// are read again if the store has come back from a copy.
+func (f *follower) catchUp(known resumption) {
+	switch {
+	case known.incarnation > f.incarnation:
+		f.synced = false
+	case known.incarnation == f.incarnation:
+		f.next = max(f.next, known.next)
+	}
+}
+
 func (f *follower) step(ctx context.Context) error {
 	sent := boottime.Now()
 	if !f.synced {
@@ -82,9 +104,15 @@
 		if err != nil {
 			return err
 		}
-		f.synced, f.next = true, page.End
-		f.apply(page.Items, page.End, sent)
-		wait.For(ctx, f.settle)
+		if !f.begun && f.first != nil {
+			f.first(ctx)
+		}
+		f.next, f.incarnation = page.End, page.Incarnation
+		f.apply(page, true, sent)
+		if !f.begun {
+			wait.For(ctx, f.settle)
+		}
+		f.synced, f.begun = true, true
 		return nil
 	}
 	records := f.wait
@@ -102,8 +130,12 @@
 	if err != nil {
 		return err
 	}
+	if page.Incarnation != f.incarnation {
+		f.synced = false // offsets have been given out again
+		return nil
+	}
 	f.next, f.paused = page.End, false
-	f.apply(page.Items, page.End, sent)
+	f.apply(page, false, sent)
 	if len(page.Items) > 0 {
 		wait.For(ctx, f.gather)
 	}
--- a/directory/pull.go
+++ b/directory/pull.go
@@ -33,6 +33,10 @@
 // heard of it. While all are reachable one node of a domain reads for the others.
 func (d *Directory) pull(ctx context.Context) {
 	for wait.For(ctx, pullInterval) {
+		d.mu.Lock()
+		d.meet(d.options.Store.Incarnation(), "store")
+		d.mu.Unlock()
+		d.prune()
 		leads := !d.pullPeers(ctx)
 		if d.leading.Swap(leads) != leads {
 			d.options.Log.Info("reader of the store for the failure domain changed", "self", leads,
--- a/directory/reader_test.go
+++ b/directory/reader_test.go
@@ -16,24 +16,45 @@
 
 // sharedStore is one store for all nodes of a test.
 type sharedStore struct {
-	mu     sync.Mutex
-	topics map[string][]Item
-	grown  chan struct{}
+	mu          sync.Mutex
+	topics      map[string][]Item
+	grown       chan struct{}
+	incarnation uint64 // zero tells none
+	puts        map[string]int
 }
 
 func newSharedStore() *sharedStore {
-	return &sharedStore{topics: map[string][]Item{}, grown: make(chan struct{})}
+	return &sharedStore{topics: map[string][]Item{}, grown: make(chan struct{}), puts: map[string]int{}}
 }
 
 func (s *sharedStore) put(topic, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	items := s.topics[topic]
+	s.puts[key]++
 	s.topics[topic] = append(items, Item{Key: key, Value: value, Offset: uint64(len(items))})
 	close(s.grown)
 	s.grown = make(chan struct{})
 }
 
+func (s *sharedStore) at() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.incarnation
+}
+
+// restore puts the store back to a copy that lacks the latest records of a topic.
+func (s *sharedStore) restore(topic string, lost int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.incarnation++
+	items := s.topics[topic]
+	s.topics[topic] = items[: len(items)-lost : len(items)-lost]
+	s.puts = map[string]int{}
+	close(s.grown)
+	s.grown = make(chan struct{})
+}
+
 // access is one node's way to the store; it counts the node's reads.
 type access struct {
 	store *sharedStore
@@ -42,6 +63,8 @@
 	cut   atomic.Bool
 }
 
+func (a *access) Incarnation() uint64 { return a.store.at() }
+
 func (a *access) Newest(_ context.Context, topic string) (Page, error) {
 	if a.cut.Load() {
 		return Page{}, errCut
@@ -52,7 +75,7 @@
 	for _, i := range a.store.topics[topic] {
 		newest[i.Key] = i
 	}
-	page := Page{End: uint64(len(a.store.topics[topic]))}
+	page := Page{End: uint64(len(a.store.topics[topic])), Incarnation: a.store.incarnation}
 	for _, i := range newest {
 		page.Items = append(page.Items, i)
 	}
@@ -64,18 +87,20 @@
 	until := time.After(wait)
 	for {
 		a.store.mu.Lock()
-		items, grown := a.store.topics[topic], a.store.grown
+		items, grown, incarnation := a.store.topics[topic], a.store.grown, a.store.incarnation
 		a.store.mu.Unlock()
 		switch {
 		case a.cut.Load():
 			return Page{}, errCut
+		case incarnation > 1 && from > uint64(len(items)):
+			return Page{}, ErrCompacted
 		case from < uint64(len(items)):
-			return Page{Items: items[from:], End: uint64(len(items))}, nil
+			return Page{Items: items[from:], End: uint64(len(items)), Incarnation: incarnation}, nil
 		}
 		select {
 		case <-grown:
 		case <-until:
-			return Page{End: from}, nil
+			return Page{End: from, Incarnation: incarnation}, nil
 		case <-ctx.Done():
 			return Page{}, ctx.Err()
 		}
@@ -113,7 +138,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		d.applyMembers(page.Items, page.End, 0)
+		d.applyMembers(page, true, 0)
 	}
 	if got := way.puts.Load(); got != 1 {
 		t.Errorf("the record was written %d times", got)
--- a/directory/store.go
+++ b/directory/store.go
@@ -23,11 +23,20 @@
 	Items []Item
 	// End is the offset to read on from.
 	End uint64
+	// Incarnation is that of the store which has answered.
+	Incarnation uint64
 }
 
 // Store is a linearizable store of keyed topics. Its errors say nothing about
 // whether a write took effect.
+//
+// A store that comes back from a copy is a new incarnation: what was written
+// since the copy is gone, and offsets are given out again. Answers of an earlier
+// incarnation that arrive late are errors.
 type Store interface {
+	// Incarnation returns the newest that an answer has told; zero before the first
+	// and for stores that tell none.
+	Incarnation() uint64
 	// Newest returns the newest record of each key, and an end from before the
 	// first of them was read.
 	Newest(ctx context.Context, topic string) (Page, error)
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -33,7 +33,7 @@
 	// Pools configures the owners of customers' rates, and Announce tells the
 	// other nodes which partitions of them this node owns.
 	Pools    PoolSettings
-	Announce func(partitions []int, term uint64)
+	Announce func(h Holding)
 	// AnnounceNeeds tells the other nodes, and later processes of this one, what
 	// runs at the instance need; see state.Snapshot.Needs.
 	AnnounceNeeds func(needs state.Needs)
@@ -57,11 +57,19 @@
 	Term time.Duration
 }
 
+// Holding is what a member of a group holds.
+type Holding struct {
+	Partitions []int
+	Term       state.Term
+}
+
 // Groups hands out partitions to the members of a group.
 type Groups interface {
-	// Join joins the group or stays in it, and returns the partitions held and
-	// their generation.
-	Join(ctx context.Context, member string, term time.Duration, generation uint64) (partitions []int, next uint64, err error)
+	// Join joins the group or stays in it; latest is the term of the latest holding.
+	Join(ctx context.Context, member string, term time.Duration, latest state.Term) (Holding, error)
+	// Incarnation returns the newest incarnation of the store that is known. What
+	// an earlier one has given out is void.
+	Incarnation() uint64
 	// Leave gives all partitions back.
 	Leave(ctx context.Context, member string) error
 }
--- a/ratelimit/quota/doc.go
+++ b/ratelimit/quota/doc.go
@@ -33,6 +33,14 @@
 // anew at once overlap for at most one joinInterval. The sum stays below
 // rate x window + burst, and above it by a tenth only while owners overlap.
 //
+// # Incarnations
+//
+// A store that comes back from a copy gives out partitions and generations again.
+// A tenure ends with its incarnation: pools that the same node holds in the next
+// one begin empty, others begin a term after the node has met the incarnation,
+// when the owners by the earlier one have ended whether they have heard of it or
+// not. Owners are ordered by incarnation, then by generation.
+//
 // # Limits
 //
 // When an owner dies its customers have a part of what they used until the term
--- a/ratelimit/quota/owners.go
+++ b/ratelimit/quota/owners.go
@@ -59,7 +59,7 @@
 	if err := p.host.Pools.Groups.Leave(ctx, p.host.Self.ID.Place()); err != nil {
 		p.host.Log.Warn("pools not given back", "error", err)
 	}
-	p.host.Announce(nil, 0)
+	p.host.Announce(kernel.Holding{})
 }
 
 // stands reports whether this node is to own pools: it is among the first
@@ -124,7 +124,7 @@
 	owner, known := s.Pools[partition]
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if told, ok := p.news[partition]; ok && (!known || told.Term > owner.Term) {
+	if told, ok := p.news[partition]; ok && (!known || owner.Term.Before(told.Term)) {
 		return told, true
 	}
 	return owner, known
@@ -145,7 +145,9 @@
 type ownership struct {
 	Member     state.Member `cbor:"1,keyasint"`
 	Partitions []int        `cbor:"2,keyasint"`
-	Term       uint64       `cbor:"3,keyasint"`
+	Generation uint64       `cbor:"3,keyasint"`
+	// Incarnation is that of the store which has given out the generation.
+	Incarnation uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 func (p *Plugin) onOwner(_ context.Context, _ state.MemberID, body []byte) ([]byte, error) {
@@ -153,11 +155,12 @@
 	if err := cbor.Unmarshal(body, &o); err != nil {
 		return nil, err
 	}
+	term := state.Term{Incarnation: o.Incarnation, Generation: o.Generation}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, partition := range o.Partitions {
-		if old, known := p.news[partition]; partition >= 0 && partition < p.tenure.count && (!known || old.Term < o.Term) {
-			p.news[partition] = state.PoolOwner{Member: o.Member, Term: o.Term}
+		if old, known := p.news[partition]; partition >= 0 && partition < p.tenure.count && (!known || old.Term.Before(term)) {
+			p.news[partition] = state.PoolOwner{Member: o.Member, Term: term}
 		}
 	}
 	return nil, nil
@@ -165,12 +168,14 @@
 
 // tell sends the partitions to all nodes; those that miss it read the members'
 // topic.
-func (p *Plugin) tell(partitions []int, term uint64) {
+func (p *Plugin) tell(h kernel.Holding) {
 	notifier, ok := p.host.Peers.(kernel.Notifier)
-	if !ok || len(partitions) == 0 {
+	if !ok || len(h.Partitions) == 0 {
 		return
 	}
-	body, err := cbor.Marshal(ownership{Member: p.host.Self, Partitions: partitions, Term: term})
+	body, err := cbor.Marshal(ownership{
+		Member: p.host.Self, Partitions: h.Partitions, Generation: h.Term.Generation, Incarnation: h.Term.Incarnation,
+	})
 	if err != nil {
 		p.host.Log.Error("owned pools not encoded", "error", err)
 		return
@@ -182,20 +187,31 @@
 	}
 }
 
+// meet takes note of the store's incarnation. Owners by an earlier one may grant
+// for a term from here on; they may not have heard of it. p.mu is held.
+func (p *Plugin) meet(now time.Time) {
+	if incarnation := p.host.Pools.Groups.Incarnation(); incarnation > p.incarnation {
+		p.incarnation, p.notBefore = incarnation, now.Add(p.host.Pools.Term)
+	}
+}
+
 // join joins the group or stays in it.
 func (p *Plugin) join() {
 	p.mu.Lock()
-	generation := p.tenure.generation
+	latest := p.tenure.term
 	p.mu.Unlock()
 	ctx, stop := context.WithTimeout(context.Background(), joinTimeout)
 	defer stop()
 	sent := boottime.Now()
-	partitions, next, err := p.host.Pools.Groups.Join(ctx, p.host.Self.ID.Place(), p.host.Pools.Term, generation)
+	holding, err := p.host.Pools.Groups.Join(ctx, p.host.Self.ID.Place(), p.host.Pools.Term, latest)
 	p.mu.Lock()
+	p.meet(p.host.Now())
 	p.joining = false
 	changed := changeNone
 	if err == nil && !p.resigned && !p.closed && !p.shunned(p.host.Now()) {
-		changed = p.tenure.renew(partitions, next, sent, p.host.Now(), p.host.Pools.Term)
+		changed = p.tenure.renew(renewal{
+			Holding: holding, sent: sent, now: p.host.Now(), length: p.host.Pools.Term, notBefore: p.notBefore,
+		})
 	}
 	p.mu.Unlock()
 	if err != nil {
@@ -205,9 +221,10 @@
 	if changed == changeNone {
 		return
 	}
-	p.host.Log.Info("pools owned", "partitions", partitions, "generation", next)
+	p.host.Log.Info("pools owned", "partitions", holding.Partitions, "generation", holding.Term.Generation,
+		"incarnation", holding.Term.Incarnation)
 	if changed == changeOwner {
-		p.host.Announce(partitions, next)
+		p.host.Announce(holding)
 	}
-	p.tell(partitions, next)
+	p.tell(holding)
 }
--- a/ratelimit/quota/ownership_test.go
+++ b/ratelimit/quota/ownership_test.go
@@ -35,14 +35,17 @@
 
 // group answers all joins alike.
 type group struct {
-	partitions []int
-	generation uint64
+	partitions  []int
+	generation  uint64
+	incarnation uint64
 }
 
-func (g *group) Join(context.Context, string, time.Duration, uint64) ([]int, uint64, error) {
-	return g.partitions, g.generation, nil
+func (g *group) Join(context.Context, string, time.Duration, state.Term) (kernel.Holding, error) {
+	return kernel.Holding{Partitions: g.partitions, Term: state.Term{Incarnation: g.incarnation, Generation: g.generation}}, nil
 }
 
+func (g *group) Incarnation() uint64 { return g.incarnation }
+
 func (g *group) Leave(context.Context, string) error { return nil }
 
 func ownershipPlugin(peers kernel.Peers, g *group, s *state.Snapshot) (*Plugin, *atomic.Int32) {
@@ -53,7 +56,7 @@
 			Self: state.Member{ID: "n1#1"}, Peers: peers, Log: slog.New(slog.DiscardHandler),
 			Now:      func() time.Time { return now },
 			Snapshot: func() *state.Snapshot { return s },
-			Announce: func([]int, uint64) { announced.Add(1) },
+			Announce: func(kernel.Holding) { announced.Add(1) },
 			Pools:    kernel.PoolSettings{Groups: g, Partitions: partitions, Term: 2 * time.Second},
 		},
 		tenure: newTenure(partitions), holdings: map[string]*holding{},
@@ -100,9 +103,9 @@
 func TestWordOfAFormerOwnerIsDropped(t *testing.T) {
 	customer := config.Customer{Name: "golf", Rate: 100, Burst: 100}
 	partition := partitionOf(customer.Name, partitions)
-	s := &state.Snapshot{Pools: map[int]state.PoolOwner{partition: {Member: state.Member{ID: "owner#1"}, Term: 15}}}
+	s := &state.Snapshot{Pools: map[int]state.PoolOwner{partition: {Member: state.Member{ID: "owner#1"}, Term: state.Term{Generation: 15}}}}
 	p, _ := ownershipPlugin(&owners{owner: "owner#1"}, &group{}, s)
-	p.news[partition] = state.PoolOwner{Member: state.Member{ID: "former#1"}, Term: 20}
+	p.news[partition] = state.PoolOwner{Member: state.Member{ID: "former#1"}, Term: state.Term{Generation: 20}}
 	if _, err := p.lease(customer, s, 1); !errors.Is(err, errNotOwner) {
 		t.Fatalf("first answer %v, want %v", err, errNotOwner)
 	}
--- a/ratelimit/quota/plugin.go
+++ b/ratelimit/quota/plugin.go
@@ -99,6 +99,10 @@
 	contacts contacts
 	isolated bool
 	cutSince time.Time
+	// incarnation is that of the store, notBefore when the owners by earlier ones
+	// have ended.
+	incarnation uint64
+	notBefore   time.Time
 	// news holds owners that have told this node of themselves.
 	news     map[int]state.PoolOwner
 	resigned bool // owns no pools any more
@@ -141,6 +145,7 @@
 	p.mu.Lock()
 	elapsed := now.Sub(p.ticked)
 	p.ticked = now
+	p.meet(now)
 	if elapsed > 0 {
 		p.tickHoldings(s, now, elapsed)
 	}
@@ -206,8 +211,8 @@
 	}
 	p.mu.Unlock()
 	owner, _ := p.ownerOf(c.Name, s)
-	return fmt.Sprintf("rate %g/s, burst %g: %s; owner %s, term %d, demand here %.1f/s",
-		c.Rate, c.Burst, why, owner.Member.ID, owner.Term, demand)
+	return fmt.Sprintf("rate %g/s, burst %g: %s; owner %s, term %d of incarnation %d, demand here %.1f/s",
+		c.Rate, c.Burst, why, owner.Member.ID, owner.Term.Generation, owner.Term.Incarnation, demand)
 }
 
 func (p *Plugin) comeBack() time.Duration {
@@ -343,6 +348,9 @@
 	at, now := boottime.Now(), p.host.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.host.Pools.Groups.Incarnation() > p.tenure.term.Incarnation {
+		return 0, errNotOwner // what an earlier incarnation has given out is void
+	}
 	got, ok := p.tenure.grant(c, want, at, now)
 	if !ok {
 		return 0, errNotOwner
--- a/ratelimit/quota/pools.go
+++ b/ratelimit/quota/pools.go
@@ -8,6 +8,8 @@
 
 	"github.com/gooseberryflow/gooseberryflow/config"
 	"github.com/gooseberryflow/gooseberryflow/internal/boottime"
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
 // tenure is the ownership of some partitions. It is not safe for concurrent
@@ -16,7 +18,7 @@
 	count int // of all partitions
 	// partitions maps those held to the time since when.
 	partitions map[int]time.Time
-	generation uint64
+	term       state.Term
 	until      boottime.Instant
 	pools      map[string]*bucket
 }
@@ -38,18 +40,35 @@
 	changeOwner
 )
 
-// renew takes over the answer to a join that was sent at an instant. Pools of
-// partitions that were not held all the while begin empty.
-func (t *tenure) renew(partitions []int, generation uint64, sent boottime.Instant, now time.Time, term time.Duration) change {
-	lapsed := sent > t.until
-	changed := len(partitions) != len(t.partitions)
-	passed := generation - t.generation
+// renewal is the answer to a join that was sent at an instant.
+type renewal struct {
+	kernel.Holding
+	sent boottime.Instant
+	now  time.Time
+	// length is how long the holding lasts from sent.
+	length time.Duration
+	// notBefore is when owners by earlier incarnations of the store have ended.
+	notBefore time.Time
+}
+
+// renew takes over a renewal. Pools of partitions that were not held all the
+// while, or only in an earlier incarnation of the store, begin empty.
+func (t *tenure) renew(r renewal) change {
+	lapsed := r.sent > t.until
+	restored := r.Term.Incarnation != t.term.Incarnation
+	changed := len(r.Partitions) != len(t.partitions)
 	held := map[int]time.Time{}
-	for _, p := range partitions {
+	for _, p := range r.Partitions {
 		since, had := t.partitions[p]
 		changed = changed || !had
-		if !had || lapsed {
-			since = now
+		switch {
+		case !had || lapsed:
+			since = r.now
+			if r.notBefore.After(since) {
+				since = r.notBefore
+			}
+		case restored:
+			since = r.now
 		}
 		held[p] = since
 	}
@@ -59,12 +78,13 @@
 			delete(t.pools, name)
 		}
 	}
-	t.partitions, t.generation = held, generation
-	t.until = sent.Add(term - termMargin)
+	before := t.term
+	t.partitions, t.term = held, r.Term
+	t.until = r.sent.Add(r.length - termMargin)
 	switch {
-	case changed || lapsed && passed > 0 && len(held) > 0:
+	case changed || len(held) > 0 && (restored || lapsed && before.Before(r.Term)):
 		return changeOwner
-	case passed > 1 && len(held) > 0:
+	case len(held) > 0 && before.Generation+1 < r.Term.Generation:
 		return changeTerm
 	}
 	return changeNone
@@ -79,7 +99,7 @@
 // if this node doesn't own the pool now.
 func (t *tenure) grant(c config.Customer, want float64, at boottime.Instant, now time.Time) (float64, bool) {
 	since, held := t.partitions[partitionOf(c.Name, t.count)]
-	if !held || at > t.until {
+	if !held || at > t.until || now.Before(since) {
 		return 0, false
 	}
 	b := t.pools[c.Name]
--- a/ratelimit/quota/quota_test.go
+++ b/ratelimit/quota/quota_test.go
@@ -39,9 +39,16 @@
 	return w
 }
 
+func renewalOf(partitions []int, generation uint64, sent boottime.Instant, now time.Time, length time.Duration) renewal {
+	return renewal{
+		Holding: kernel.Holding{Partitions: partitions, Term: state.Term{Generation: generation}},
+		sent:    sent, now: now, length: length,
+	}
+}
+
 func (w *world) newOwner() {
 	t := newTenure(partitions)
-	t.renew([]int{partitionOf(w.customer.Name, partitions)}, uint64(len(w.owners)+1), w.boot, w.now, time.Hour)
+	t.renew(renewalOf([]int{partitionOf(w.customer.Name, partitions)}, uint64(len(w.owners)+1), w.boot, w.now, time.Hour))
 	w.owners = append(w.owners, t)
 }
 
@@ -169,7 +176,7 @@
 	term := 2 * time.Second
 	own := []int{partitionOf(w.customer.Name, partitions)}
 	o := newTenure(partitions)
-	o.renew(own, 1, w.boot, w.now, term)
+	o.renew(renewalOf(own, 1, w.boot, w.now, term))
 	later := w.now.Add(time.Second)
 	if got, ok := o.grant(w.customer, 5, w.boot.Add(time.Second), later); !ok || got != 5 {
 		t.Fatalf("granted %g, %t within the term", got, ok)
@@ -179,7 +186,7 @@
 	}
 	// A tenure that has lapsed begins with an empty pool again.
 	back := later.Add(time.Minute)
-	o.renew(own, 2, w.boot.Add(time.Minute), back, term)
+	o.renew(renewalOf(own, 2, w.boot.Add(time.Minute), back, term))
 	if got, _ := o.grant(w.customer, 5, w.boot.Add(time.Minute), back); got != 0 {
 		t.Errorf("granted %g from a pool that should be empty", got)
 	}
@@ -197,14 +204,17 @@
 	self := state.Member{ID: "n1#1"}
 	s := &state.Snapshot{
 		Config: &config.Config{Customers: []config.Customer{c}},
-		Pools:  map[int]state.PoolOwner{partitionOf(c.Name, partitions): {Member: self, Term: 1}},
+		Pools:  map[int]state.PoolOwner{partitionOf(c.Name, partitions): {Member: self, Term: state.Term{Generation: 1}}},
 	}
 	p := &Plugin{
-		host:     &kernel.Host{Self: self, Now: func() time.Time { return now }, Rand: func() uint64 { return 0 }},
+		host: &kernel.Host{
+			Self: self, Now: func() time.Time { return now }, Rand: func() uint64 { return 0 },
+			Pools: kernel.PoolSettings{Groups: &group{}},
+		},
 		tenure:   newTenure(partitions),
 		holdings: map[string]*holding{},
 	}
-	p.tenure.renew([]int{partitionOf(c.Name, partitions)}, 1, boottime.Now(), now.Add(-time.Second), time.Hour)
+	p.tenure.renew(renewalOf([]int{partitionOf(c.Name, partitions)}, 1, boottime.Now(), now.Add(-time.Second), time.Hour))
 	h := p.holding(c)
 	h.waiting, h.asking = at, make(chan struct{})
 	p.ask(h, c, s, 1)
@@ -214,3 +224,12 @@
 		}
 	}
 }
+
+// customerOf returns a customer of a partition.
+func customerOf(partition int) config.Customer {
+	for i := 0; ; i++ {
+		if name := fmt.Sprint("c", i); partitionOf(name, partitions) == partition {
+			return config.Customer{Name: name, Rate: 100, Burst: 100}
+		}
+	}
+}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -230,8 +230,10 @@
 	})
 }
 
-func (n *Node) announcePools(pools []int, term uint64) {
-	n.directory.Announce(func(r *directory.Record) { r.Pools, r.PoolTerm = pools, term })
+func (n *Node) announcePools(h kernel.Holding) {
+	n.directory.Announce(func(r *directory.Record) {
+		r.Pools, r.PoolTerm, r.PoolIncarnation = h.Partitions, h.Term.Generation, h.Term.Incarnation
+	})
 }
 
 func (n *Node) announceNeeds(needs state.Needs) {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -23,8 +23,10 @@
 	storeLate       = 2 * time.Second
 	linkDelay       = 120 * time.Millisecond
 	leaveTime       = 2500 * time.Millisecond
-	stormChanges    = 4
-	stormPause      = 250 * time.Millisecond
+	// rewriteDelay is how long the operator takes to write again what was lost.
+	rewriteDelay = time.Second
+	stormChanges = 4
+	stormPause   = 250 * time.Millisecond
 )
 
 // event is one fault of a schedule.
@@ -47,7 +49,7 @@
 		"store-cut", "store-silence", "compact", "rebalance", "link-delay", "link-cut", "link-silence", "link-reset",
 		"answers-lost", "answers-short", "answers-extra", "rejects", "leave", "change", "storm", "withdraw", "withdraw",
 	}
-	kinds = append(slices.Clone(firstKinds), "answers-early", "silence", "answers-endless", "store-endless")
+	kinds = append(slices.Clone(firstKinds), "answers-early", "silence", "answers-endless", "store-endless", "store-restored")
 )
 
 // schedule draws the events of a run.
@@ -118,6 +120,8 @@
 		x.note(-1, time.Now(), time.Now())
 		n.toNode.Reset()
 		n.toStore.Reset()
+	case "store-restored":
+		x.onRestore(e)
 	case "compact":
 		x.f.store.Compact()
 	case "rebalance":
@@ -208,23 +212,22 @@
 
 func (x *faults) onStore(e event) {
 	change := func(on bool) {
-		x.storeMu.Lock()
-		defer x.storeMu.Unlock()
-		switch e.kind {
-		case "store-down":
-			x.store.Down = on
-		case "store-silent":
-			x.store.Silent = on
-		case "store-slow":
-			x.store.Slow = map[bool]time.Duration{true: storeSlow}[on]
-		case "store-endless":
-			x.store.Endless = on
-		case "store-lose":
-			x.store.LoseWrites = on
-		case "store-late":
-			x.store.LateWrites = map[bool]time.Duration{true: storeLate}[on]
-		}
-		x.f.store.SetFaults(x.store)
+		x.setStore(func(f *standin.Faults) {
+			switch e.kind {
+			case "store-down":
+				f.Down = on
+			case "store-silent":
+				f.Silent = on
+			case "store-slow":
+				f.Slow = map[bool]time.Duration{true: storeSlow}[on]
+			case "store-endless":
+				f.Endless = on
+			case "store-lose":
+				f.LoseWrites = on
+			case "store-late":
+				f.LateWrites = map[bool]time.Duration{true: storeLate}[on]
+			}
+		})
 	}
 	from := time.Now()
 	change(true)
@@ -233,6 +236,28 @@
 	x.note(-1, from, time.Now())
 }
 
+// onRestore takes the store away for a moment and brings it back from a copy as
+// old as the event lasts. The operator then writes its newest version again.
+func (x *faults) onRestore(e event) {
+	x.config.Lock()
+	defer x.config.Unlock()
+	from := time.Now()
+	x.setStore(func(f *standin.Faults) { f.Down = true })
+	time.Sleep(e.lasts / 4)
+	x.f.store.Restore(e.lasts)
+	x.setStore(func(f *standin.Faults) { f.Down = false })
+	time.Sleep(rewriteDelay)
+	x.f.write(int(x.f.version.Load()))
+	x.note(-1, from, time.Now())
+}
+
+func (x *faults) setStore(change func(*standin.Faults)) {
+	x.storeMu.Lock()
+	defer x.storeMu.Unlock()
+	change(&x.store)
+	x.f.store.SetFaults(x.store)
+}
+
 func (x *faults) onProxy(e event, p *faultproxy.Proxy, f faultproxy.Faults, ways ...faultproxy.Direction) {
 	from := time.Now()
 	p.Set(f, ways...)
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -249,8 +249,20 @@
 // version has.
 func (f *fleet) configure() {
 	version := int(f.version.Load()) + 1
+	held, ok := f.write(version)
+	if !ok {
+		return
+	}
+	f.version.Store(int64(version))
+	f.ledger.mu.Lock()
+	f.ledger.changes = append(f.ledger.changes, change{version: version, at: time.Now(), keys: held})
+	f.ledger.mu.Unlock()
+}
+
+// write writes a version and returns the holders of its keys.
+func (f *fleet) write(version int) (held map[string]string, ok bool) {
 	holders := map[string][]string{}
-	held := map[string]string{}
+	held = map[string]string{}
 	for key, customer := range f.keys {
 		holders[customer] = append(holders[customer], key)
 		held[key] = customer
@@ -268,12 +280,9 @@
 	}
 	if err := f.store.Configure(version, customers, rules); err != nil {
 		f.t.Error(err)
-		return
+		return nil, false
 	}
-	f.version.Store(int64(version))
-	f.ledger.mu.Lock()
-	f.ledger.changes = append(f.ledger.changes, change{version: version, at: time.Now(), keys: held})
-	f.ledger.mu.Unlock()
+	return held, true
 }
 
 // keepLogs writes what the daemons logged beside the test's temporary files.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -150,3 +150,26 @@
 	}
 	return func() { close(stop) }
 }
+
+// The store comes back from a copy beside each fault of a process: no promise
+// that rests on what it had acknowledged is broken.
+func TestSoakRestoredStore(t *testing.T) {
+	restored := func(at time.Duration) event {
+		return event{kind: "store-restored", at: at, lasts: faultMost}
+	}
+	cases := map[string][]event{
+		"kill":      {{kind: "kill-all", at: 2500 * time.Millisecond, lasts: time.Second}, {kind: "withdraw", at: 500 * time.Millisecond}},
+		"pause":     {{kind: "pause", at: 500 * time.Millisecond, lasts: 3 * time.Second, node: 1}, {kind: "withdraw", at: time.Second}},
+		"stop":      {{kind: "stop", at: 500 * time.Millisecond, node: 2}, {kind: "leave", at: 200 * time.Millisecond, node: 4}},
+		"store-cut": {{kind: "store-cut", at: 500 * time.Millisecond, lasts: 4 * time.Second, node: 3}, {kind: "storm", at: 300 * time.Millisecond}},
+	}
+	for name, beside := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			events := append([]event{restored(time.Second), restored(6 * time.Second)}, beside...)
+			for check, found := range play(t, 1, defaultOptions(), events) {
+				t.Errorf("%s: %d findings, the first:\n%s", check, len(found), strings.Join(found[:min(shownMost, len(found))], "\n"))
+			}
+		})
+	}
+}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -51,11 +51,26 @@
 // route, in thousandths of a call.
 type Needs map[string]map[string]int
 
+// Term orders the ownerships of a partition: by the incarnation of the store that
+// gave it out, in which generations rise, then by the generation.
+type Term struct {
+	Incarnation uint64
+	Generation  uint64
+}
+
+// Before reports whether t was given out before u.
+func (t Term) Before(u Term) bool {
+	if t.Incarnation != u.Incarnation {
+		return t.Incarnation < u.Incarnation
+	}
+	return t.Generation < u.Generation
+}
+
 // PoolOwner is the owner of a partition of customers' rates.
 type PoolOwner struct {
 	Member Member
-	// Term is the generation in which the owner got the partition.
-	Term uint64
+	// Term is when the owner got the partition.
+	Term Term
 }
 
 // RosterEvent is one change of the roster.
