--- a/cmd/gooseberryctl/app.go
+++ b/cmd/gooseberryctl/app.go
@@ -26,6 +26,7 @@
   gooseberryctl apply fleet.toml            put it in force, whole or not at all
   gooseberryctl key issue golf              make a key for a customer
   gooseberryctl status                      members, versions and lag
+  gooseberryctl nodes 10.1.0.26:9090        what nodes beside a keyed store believe
 
 Flags go before arguments. --admin, --token, --json and --timeout can be given
 to every command or, before it, to gooseberryctl itself, or in the environment:
@@ -81,6 +82,7 @@
 		a.applyCommand(),
 		a.getCommand(),
 		a.statusCommand(),
+		a.nodesCommand(),
 		a.keyCommand(),
 		a.drainCommand(),
 		a.removeCommand(),
--- /dev/null
+++ b/cmd/gooseberryctl/nodes_test.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+func TestNodesTellsTheStoresIncarnation(t *testing.T) {
+	metrics := func(text string) string {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/metrics" {
+				_, _ = io.WriteString(w, text)
+			}
+		}))
+		t.Cleanup(server.Close)
+		return strings.TrimPrefix(server.URL, "http://")
+	}
+	one := metrics(`{"config_version":9,"config_age_ms":1200,"members":3,"store_incarnation":2,"store_incarnation_age_ms":4000,"more":{}}`)
+	two := metrics(`{"config_version":9,"config_age_ms":300,"members":3,"store_incarnation":1,"store_incarnation_age_ms":90000}`)
+	bad := metrics(`no metrics`)
+	run := func(args ...string) (string, int) {
+		var out, errs bytes.Buffer
+		code := newApp(&out, &errs).run(t.Context(), append([]string{"nodes"}, args...))
+		return out.String(), code
+	}
+	text, code := run(one, two)
+	for _, want := range []string{"INCARNATION", "1.2s", "4s", "1m30s"} {
+		if !strings.Contains(text, want) || code != exitOK {
+			t.Errorf("code %d, %q is not in:\n%s", code, want, text)
+		}
+	}
+	text, code = run("--json", one, bad)
+	var beliefs []nodeBelief
+	if err := json.Unmarshal([]byte(text), &beliefs); err != nil {
+		t.Fatal(err)
+	}
+	if code != exitUnreachable || beliefs[0].Incarnation != 2 || beliefs[0].Version != 9 || beliefs[1].Error == "" {
+		t.Errorf("code %d, %+v", code, beliefs)
+	}
+	if _, code := run(); code != exitUsage {
+		t.Errorf("no address: code %d", code)
+	}
+}
