--- a/internal/daemontest/daemon.go
+++ b/internal/daemontest/daemon.go
@@ -130,7 +130,7 @@
 	for limit := time.Now().Add(startLimit); time.Now().Before(limit); time.Sleep(pollEvery) {
 		select {
 		case <-exited:
-			return ErrEnded
+			return fmt.Errorf("%w: %s", ErrEnded, d.lastLine())
 		default:
 		}
 		if strings.Count(d.Log(), servesLine) > before {
@@ -154,6 +154,12 @@
 	return d.output.String()
 }
 
+// lastLine returns the last line of the log.
+func (d *Daemon) lastLine() string {
+	log := strings.TrimSpace(d.Log())
+	return log[strings.LastIndexByte(log, '\n')+1:]
+}
+
 // Boot returns the number of starts.
 func (d *Daemon) Boot() int {
 	d.mu.Lock()
