--- a/admission/graph/plugin.go
+++ b/admission/graph/plugin.go
@@ -316,9 +316,13 @@
 	if open {
 		p.shutLogged = time.Time{}
 	}
+	rejectedAgo := int64(-1) // never
+	if !p.gate.rejected.IsZero() {
+		rejectedAgo = now.Sub(p.gate.rejected).Milliseconds()
+	}
 	p.host.Log.Info("admission level", "open", open, "level", p.level.Value(), "top", p.top, "load", p.level.Load(),
 		"backlog_ms", d.Backlog.Milliseconds(), "slots", p.gate.slots, "limit", p.gate.Limit(now), "in_flight", p.gate.InFlight(),
-		"queued", p.gate.Queued(), "rejected_ago_ms", now.Sub(p.gate.rejected).Milliseconds())
+		"queued", p.gate.Queued(), "rejected_ago_ms", rejectedAgo)
 }
 
 // comeBack returns when a refused caller may try again.
