--- a/directory/doc.go
+++ b/directory/doc.go
@@ -31,6 +31,18 @@
 // the store has another one under its name. Records of nodes that are gone
 // stay until a node of the same name replaces them; routing finds out.
 //
+// # Incarnations
+//
+// A store that comes back from a copy is another incarnation. What was written
+// since the copy is gone and offsets are given out again, so that nothing read
+// in one incarnation is compared by offset with what is read in another: each
+// reader of the store reads all newest records again, and records of a node are
+// ordered by the start of its process and its own revision. A record that fell
+// out is believed for restoreGrace, which is time for its node to write it again.
+// A read in a new incarnation vouches for the configuration in force only once a
+// version was written in it, or after restoreTrust. A fresh process asks peers
+// before it uses the configuration of a store that may be a copy.
+//
 // # Limits
 //
 // The leading node of a failure domain has one poll of the configuration and one
--- a/directory/restore_test.go
+++ b/directory/restore_test.go
@@ -32,11 +32,7 @@
 
 func item(t *testing.T, key string, r Record, offset uint64) Item {
 	t.Helper()
-	value, err := cbor.Marshal(r)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return Item{Key: key, Value: value, Offset: offset}
+	return Item{Key: key, Value: mustEncode(t, r), Offset: offset}
 }
 
 func recordOf(name string, announced int64, revision uint64) Record {
