--- a/directory/records.go
+++ b/directory/records.go
@@ -164,9 +164,13 @@
 // succeed makes the own record newer than that of an earlier process, whatever
 // the clock has done in between. d.mu is held.
 func (d *Directory) succeed() {
-	if d.previous.Member.ID != "" && d.previous.Member.ID != d.own.Member.ID {
-		d.own.Member.AnnouncedMS = max(d.own.Member.AnnouncedMS, d.previous.Member.AnnouncedMS+1)
+	former := d.previous.Member
+	if former.ID == "" || former.ID == d.own.Member.ID || former.AnnouncedMS < d.own.Member.AnnouncedMS {
+		return
 	}
+	d.own.Member.AnnouncedMS = former.AnnouncedMS + 1
+	d.written = false
+	d.signal()
 }
 
 // recordMode encodes equal records to equal bytes: maps have an order of their own.
--- a/directory/restore_test.go
+++ b/directory/restore_test.go
@@ -290,9 +290,14 @@
 	if i := <-recalled; !i.Left || i.ID != "i-1" {
 		t.Errorf("recalled %+v", i)
 	}
-	if d.own.Member.AnnouncedMS <= 5 {
+	if d.own.Member.AnnouncedMS <= 5 || d.written {
 		t.Error("the process doesn't follow the former one")
 	}
+	select {
+	case <-d.wake:
+	default:
+		t.Error("its record is not written")
+	}
 }
 
 // Owners are told apart by incarnation first: generations fall with the copy.
