Requests for the head alone are answered

Cause: the answer to HEAD tells a length and has no body; the exchange read that many bytes and reported a broken answer (502, may have run). Towards the caller its length was written as 0.

--- a/pipeline/request_test.go
+++ b/pipeline/request_test.go
@@ -106,6 +106,19 @@
 	r.eventually("a caller that leaves gives its answers back", func() bool { return held() == 0 })
 }
 
+// The answer to a request for the head alone tells the length of what it leaves out.
+func TestHeadAlone(t *testing.T) {
+	r := newRig(t)
+	c := r.dial()
+	c.send("HEAD /one HTTP/1.1\r\nHost: h\r\n\r\n")
+	resp, err := http.ReadResponse(c.in, &http.Request{Method: http.MethodHead})
+	if err != nil || resp.ContentLength != 10 || resp.Close {
+		t.Fatalf("%+v %v", resp, err)
+	}
+	c.send(get("/two"))
+	c.expect(200, "GET /two ")
+}
+
 // The caller is asked for a body only when no answer is due before it.
 func TestExpectContinue(t *testing.T) {
 	r := newRig(t)
--- a/pipeline/server_test.go
+++ b/pipeline/server_test.go
@@ -58,6 +58,8 @@
 			}
 		case r.URL.Path == "/panic":
 			panic("unexpected")
+		case r.Method == http.MethodHead:
+			return &Response{Status: http.StatusOK, Header: http.Header{"Content-Length": {"10"}}}
 		}
 		return text(http.StatusOK, r.Method+" "+r.RequestURI+" "+string(body), strings.HasPrefix(r.URL.Path, "/close"))
 	}
--- a/pipeline/write.go
+++ b/pipeline/write.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -20,13 +21,17 @@
 	defer writers.Put(w)
 	w.Reset(c.Conn)
 	_ = c.SetWriteDeadline(time.Now().Add(c.server.options.WriteTimeout))
+	length := int64(len(a.Body))
+	if e.method == http.MethodHead {
+		length = toldLength(a.Header)
+	}
 	resp := http.Response{
 		StatusCode:    a.Status,
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 		Header:        a.Header,
 		Body:          io.NopCloser(bytes.NewReader(a.Body)),
-		ContentLength: int64(len(a.Body)),
+		ContentLength: length,
 		Close:         last,
 		Request:       &http.Request{Method: e.method},
 	}
@@ -38,3 +43,12 @@
 	}
 	return w.Flush()
 }
+
+// toldLength returns the length that an answer without its body tells.
+func toldLength(h http.Header) int64 {
+	n, err := strconv.ParseInt(h.Get("Content-Length"), 10, 64)
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -89,6 +89,9 @@
 // readBody reads the body of an answer. It doesn't close it: net/http would read
 // on to its end.
 func (c *conn) readBody(resp *http.Response, limits *Limits) ([]byte, error) {
+	if resp.Body == http.NoBody {
+		return nil, nil // of a request for the head alone, whatever length it tells
+	}
 	size := resp.ContentLength
 	if size > limits.AnswerBytes {
 		return nil, fmt.Errorf("%w: body of %d bytes", errMalformed, size)
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -251,3 +251,23 @@
 		}
 	}
 }
+
+// The answer to a request for the head alone tells a length and has no body.
+func TestHeadAlone(t *testing.T) {
+	p := instance(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		body := "whole"
+		if r.Method == http.MethodHead {
+			body = ""
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 5\r\n\r\n%s", r.Header.Get(idHeader), body)
+		return true
+	})
+	head := request("a")
+	head.Method = http.MethodHead
+	if resp, err := p.Do(t.Context(), head); err != nil || len(resp.Body) != 0 || resp.Header.Get("Content-Length") != "5" {
+		t.Fatalf("%+v %v", resp, err)
+	}
+	if resp, err := p.Do(t.Context(), request("b")); err != nil || string(resp.Body) != "whole" || p.Dials.Load() != 1 {
+		t.Errorf("%+v %v on %d connections", resp, err, p.Dials.Load())
+	}
+}
