Observability: what instances say of themselves is read, logged and counted

Until now no log line or metric said that an instance had named a rate limit, so that the incident's hypotheses could not be told apart: nothing reads the header, a process loses it, or the reaction is too slow. New metrics: instance_rate_limit, instance_leaving, upstream_requests_total. No decision uses them yet.

--- /dev/null
+++ b/selfreport/tracker.go
@@ -0,0 +1,130 @@
+package selfreport
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+)
+
+// Response is what one complete response says about the instance that sent it.
+type Response struct {
+	// HeadAt is when the head of the response had been read.
+	HeadAt time.Time
+	// RateLimit is in requests per second; zero if the response names none.
+	RateLimit float64
+	// RateLimitError is set if a limit that the response names can't be read; it
+	// wraps ErrRateLimit. RateLimit is then from the other values, if any.
+	RateLimitError error
+	Leaving        bool
+}
+
+// Tracker holds what the instance beside the node has said. It is safe for
+// concurrent use; reading it takes no lock.
+type Tracker struct {
+	mu    sync.Mutex // held while state is replaced
+	state atomic.Pointer[trackerState]
+}
+
+// trackerState is immutable.
+type trackerState struct {
+	incarnation kernel.Incarnation
+	rateLimit   float64
+	leaving     bool
+	// heard is set once this process has seen a response of the incarnation.
+	heard bool
+	// at is when the response that set or ended the rate limit was sent, as far as
+	// is known.
+	at time.Time
+}
+
+// NewTracker returns a tracker of an instance that isn't known yet.
+func NewTracker() *Tracker {
+	t := &Tracker{}
+	t.state.Store(&trackerState{})
+	return t
+}
+
+// SetInstance sets the incarnation beside the node. Another incarnation has said
+// nothing yet.
+func (t *Tracker) SetInstance(i kernel.Incarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.state.Load()
+	if !i.Same(old.incarnation) {
+		t.state.Store(&trackerState{incarnation: i})
+		return
+	}
+	if i.StartedMS != 0 && old.incarnation.StartedMS == 0 {
+		next := *old
+		next.incarnation = i
+		t.state.Store(&next)
+	}
+}
+
+// Observe records a response to a request that was sent to the given incarnation.
+// It reports whether what is known has changed.
+func (t *Tracker) Observe(from kernel.Incarnation, r Response) bool {
+	if s := t.state.Load(); s.heard && s.rateLimit == 0 && r.RateLimit == 0 && s.leaving == r.Leaving && from.Same(s.incarnation) {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.state.Load()
+	next := *old
+	switch {
+	case old.incarnation.ID == "":
+		next = trackerState{incarnation: from}
+	case !from.Same(old.incarnation):
+		return false
+	}
+	next.leaving = old.leaving || r.Leaving
+	invalid := r.RateLimitError != nil && r.RateLimit == 0
+	if !invalid && !(old.heard && r.HeadAt.Before(old.at)) {
+		next.rateLimit, next.at = r.RateLimit, r.HeadAt
+	}
+	next.heard = true
+	t.state.Store(&next)
+	return next.rateLimit != old.rateLimit || next.leaving != old.leaving
+}
+
+// Adopt records what another node was told by an earlier process of this node. It
+// reports whether what is known has changed.
+func (t *Tracker) Adopt(r kernel.InstanceReport, now time.Time) bool {
+	s := t.state.Load()
+	if !r.Incarnation.Same(s.incarnation) || (s.heard || r.RateLimit == 0) && (s.leaving || !r.Leaving) {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.state.Load()
+	if !r.Incarnation.Same(old.incarnation) {
+		return false
+	}
+	next := *old
+	next.leaving = old.leaving || r.Leaving
+	if at := now.Add(-r.Age); !old.heard && r.RateLimit > 0 && at.After(old.at) {
+		next.rateLimit, next.at = min(max(r.RateLimit, MinRateLimit), MaxRateLimit), at
+	}
+	t.state.Store(&next)
+	return next.rateLimit != old.rateLimit || next.leaving != old.leaving
+}
+
+// RateLimit returns the rate limit in requests per second; zero means that there is
+// none.
+func (t *Tracker) RateLimit() float64 { return t.state.Load().rateLimit }
+
+// Leaving reports whether the instance has said that it shuts down.
+func (t *Tracker) Leaving() bool { return t.state.Load().leaving }
+
+// Report returns what the instance has said, or nil if there is nothing to tell.
+func (t *Tracker) Report(now time.Time) *kernel.InstanceReport {
+	s := t.state.Load()
+	if s.rateLimit == 0 && !s.leaving {
+		return nil
+	}
+	return &kernel.InstanceReport{
+		Incarnation: s.incarnation, RateLimit: s.rateLimit, Leaving: s.leaving, Age: max(now.Sub(s.at), 0),
+	}
+}
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -57,6 +57,8 @@
 	gauge("store_incarnation_age_ms", func() any { _, age := n.directory.Incarnation(); return age.Milliseconds() })
 	gauge("members", func() any { return len(n.Snapshot().Members) })
 	gauge("in_flight", func() any { return n.inFlight.Load() })
+	gauge("instance_rate_limit", func() any { return n.selfReport.RateLimit() })
+	gauge("instance_leaving", func() any { return n.selfReport.Leaving() })
 	gauge("node_bytes_sent_total", func() any { return n.network.CallTraffic.BytesSent.Load() })
 	gauge("node_bytes_received_total", func() any { return n.network.CallTraffic.BytesReceived.Load() })
 	m.vars.Set("node_messages_sent_total", &n.network.Sent)
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -15,6 +15,7 @@
 	"github.com/gooseberryflow/gooseberryflow/internal/wait"
 	"github.com/gooseberryflow/gooseberryflow/kernel"
 	"github.com/gooseberryflow/gooseberryflow/peer"
+	"github.com/gooseberryflow/gooseberryflow/selfreport"
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
@@ -66,19 +67,6 @@
 	StopTimeout time.Duration
 }
 
-// Instance is what is known about the instance beside the node.
-type Instance struct {
-	ID       string
-	Slots    int
-	Draining bool
-	// Present is false until the instance is known to run, and after it has
-	// deregistered.
-	Present bool
-	// StartedMS is the start of the instance in Unix milliseconds; zero if
-	// unknown.
-	StartedMS int64
-}
-
 // Node is one running node.
 type Node struct {
 	settings  Settings
@@ -95,7 +83,11 @@
 	stopping         atomic.Bool
 	stopBeganMS      atomic.Int64 // start of the planned stop, Unix ms
 	inFlight         atomic.Int64
+	instanceMu       sync.Mutex // held while instance is replaced
 	instance         atomic.Pointer[Instance]
+	selfReport       *selfreport.Tracker
+	reportLog        reportLog // changes
+	invalidLog       reportLog // rate limits that can't be read
 	cancelBackground context.CancelFunc
 	background       sync.WaitGroup
 }
@@ -115,7 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{settings: s, network: network, log: log, metrics: newMetrics()}
+	n := &Node{settings: s, network: network, log: log, metrics: newMetrics(), selfReport: selfreport.NewTracker()}
 	n.instance.Store(&Instance{})
 	n.SetLimits(s.Limits)
 	n.directory = directory.New(directory.Options{
@@ -211,20 +203,6 @@
 // stop timeout.
 func (n *Node) SetLimits(l Limits) { n.limits.Store(&l) }
 
-// Instance returns what is known about the instance beside the node.
-func (n *Node) Instance() Instance { return *n.instance.Load() }
-
-// SetInstance sets what is known about the instance from heartbeats,
-// deregistrations and health checks, and announces a change to the other nodes.
-func (n *Node) SetInstance(i Instance) {
-	old := n.instance.Swap(&i)
-	if *old == i {
-		return
-	}
-	n.log.Info("instance changed", "instance", i.ID, "slots", i.Slots, "draining", i.Draining, "present", i.Present)
-	n.announce()
-}
-
 // PreviousSlots returns the number of slots in the record that an earlier
 // process of the same node name left in the store; zero if there is none.
 func (n *Node) PreviousSlots() int { return n.directory.PreviousSlots() }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -58,6 +58,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// HeadAt is when the head had been read.
+	HeadAt time.Time
 
 	connClosing bool          // the connection can't be reused
 	idleTimeout time.Duration // that the instance has sent, less idleMargin; zero if none
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -50,8 +50,9 @@
 	mu   sync.Mutex
 	idle []*conn // most recently used last
 
-	// Dials counts attempts to connect, MismatchedResponses the skipped responses
+	// Requests counts the requests that were sent, Dials attempts to connect, MismatchedResponses the skipped responses
 	// to other requests.
+	Requests            atomic.Int64
 	Dials               atomic.Int64
 	MismatchedResponses atomic.Int64
 }
@@ -82,6 +83,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	p.Requests.Add(1)
 	resp, err := c.exchange(ctx, r, p)
 	if err != nil {
 		c.close()
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/gooseberryflow/gooseberryflow/internal/memory"
 )
@@ -73,6 +74,7 @@
 		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
 			continue
 		}
+		headAt := time.Now()
 		body, err := c.readBody(resp, limits)
 		if err != nil {
 			return nil, err
@@ -81,6 +83,7 @@
 			Status:      resp.StatusCode,
 			Header:      resp.Header,
 			Body:        body,
+			HeadAt:      headAt,
 			connClosing: resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
 			idleTimeout: keepAliveTimeout(resp.Header),
 		}, nil
