routing, sidecar: a rate limit outlives the process that has learnt it

Callers saw nothing; an instance with a limit got up to its slots at once whenever the node beside it had been killed, until it had answered the new process. Cause: what an instance says in its responses was held by one process only; the record in the store doesn't have it, and may not be written while the store is away.

Results now carry the owner's report on its instance, as they carry its load. Entry nodes remember it by the name of the node, and calls tell it to a process that hasn't had an answer yet; it takes the most recent report of the same incarnation and drops it with its instance's first own answer.

--- a/directory/records.go
+++ b/directory/records.go
@@ -247,7 +247,9 @@
 
 func addRecord(members map[state.MemberID]state.Member, pools map[int]state.PoolOwner, r Record) {
 	if r.Present {
-		members[r.Member.ID] = r.Member
+		m := r.Member
+		m.Instance = state.Incarnation{ID: r.Instance.ID, StartedMS: r.Instance.StartedMS}
+		members[m.ID] = m
 	}
 	term := state.Term{Incarnation: r.PoolIncarnation, Generation: r.PoolGeneration}
 	for _, p := range r.Pools {
--- a/kernel/call.go
+++ b/kernel/call.go
@@ -62,6 +62,9 @@
 	// TargetLatencyMS is the response time in milliseconds within which the
 	// response has its full value to the caller; zero means unknown.
 	TargetLatencyMS int64 `cbor:"20,keyasint,omitempty"`
+	// Known is what the entry node was told of the owner's instance; nil if there is
+	// nothing to tell.
+	Known *InstanceReport `cbor:"21,keyasint,omitempty"`
 	// OpenRoute is set for calls on a route that needs no key. It is not sent to
 	// the owner.
 	OpenRoute bool `cbor:"-"`
@@ -151,6 +154,9 @@
 	// all calls.
 	Threshold uint32 `cbor:"4,keyasint"`
 	Draining  bool   `cbor:"5,keyasint"`
+	// Report is what the instance has said of itself; nil if there is nothing to
+	// tell.
+	Report *InstanceReport `cbor:"6,keyasint,omitempty"`
 }
 
 // Reason classifies results produced by a node rather than an upstream.
--- /dev/null
+++ b/routing/memory_test.go
@@ -0,0 +1,69 @@
+package routing
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+// setOnlyMember makes a process of node "n" beside an instance the only member.
+func (b *testPlugin) setOnlyMember(process, instance string, startedMS int64) {
+	m := state.Member{
+		ID: state.MemberID("n#" + process), Service: "s", Domain: "a", Instance: state.Incarnation{ID: instance, StartedMS: startedMS},
+	}
+	b.snapshot = (&state.Snapshot{Members: map[state.MemberID]state.Member{m.ID: m}}).Index()
+}
+
+// memoryTestPlugin returns a plug-in that records what the calls tell the owner.
+func memoryTestPlugin(t *testing.T) (b *testPlugin, told func() *kernel.InstanceReport) {
+	b = newTestPlugin(t, 1, "self")
+	var known *kernel.InstanceReport
+	b.host.Forward = func(_ context.Context, m state.Member, c *kernel.Call) *kernel.Result {
+		b.calls[m.ID]++
+		known = c.Known
+		return b.answer(m)
+	}
+	return b, func() *kernel.InstanceReport { return known }
+}
+
+func reporting(r *kernel.Result, report kernel.InstanceReport) func(state.Member) *kernel.Result {
+	return func(state.Member) *kernel.Result {
+		r := *r
+		r.Load = &kernel.Load{Report: &report}
+		return &r
+	}
+}
+
+var limited = kernel.InstanceReport{Incarnation: state.Incarnation{ID: "i1", StartedMS: 1}, RateLimit: 20, Age: time.Second}
+
+// Guards against the rate limit being lost with the process of the node beside the
+// instance: entry nodes tell it to the next process until the instance has answered
+// that one.
+func TestCallsTellNextProcessOfRateLimit(t *testing.T) {
+	b, told := memoryTestPlugin(t)
+	b.setOnlyMember("1", "i1", 1)
+	b.answer = reporting(succeeded(), limited)
+	b.sendCalls(t.Context(), 1)
+	if told() != nil {
+		t.Errorf("told %+v before anything was known", told())
+	}
+	b.snapshot = (&state.Snapshot{}).Index()
+	b.sendCalls(t.Context(), 1)
+	b.setOnlyMember("2", "i1", 1)
+	b.now = b.now.Add(2 * time.Second)
+	b.answer = func(state.Member) *kernel.Result { return kernel.Refuse(kernel.ReasonNoUpstream, "", 0) }
+	b.sendCalls(t.Context(), 1)
+	want := limited
+	want.Age = 3 * time.Second
+	if told() == nil || *told() != want {
+		t.Fatalf("the next process was told %+v, want %+v", told(), want)
+	}
+	b.answer = func(state.Member) *kernel.Result { return succeeded() }
+	b.sendCalls(t.Context(), 2)
+	if told() != nil {
+		t.Errorf("told %+v after the instance has answered without a limit", told())
+	}
+}
--- a/routing/owner.go
+++ b/routing/owner.go
@@ -30,6 +30,7 @@
 // owner is a member and what this node knows about it.
 type owner struct {
 	*stats
+	memory *nodeMemory
 	member state.Member
 	self   bool
 }
--- a/routing/plugin.go
+++ b/routing/plugin.go
@@ -20,12 +20,15 @@
 type Plugin struct {
 	host *kernel.Host
 	view atomic.Pointer[view]
-	mu   sync.Mutex // held while a new view is built
+	mu   sync.Mutex // held while a new view is built; guards known
+	// known is what instances have said of themselves.
+	known memories
 }
 
 // Provision initializes the plug-in.
 func (p *Plugin) Provision(h *kernel.Host) error {
 	p.host = h
+	p.known = memories{}
 	return nil
 }
 
@@ -51,7 +54,7 @@
 		return noUpstream(c)
 	}
 	t.add(o.member.ID)
-	r := p.host.Forward(ctx, o.member, c)
+	r := p.host.Forward(ctx, o.member, o.memory.tell(c, p.host.Now()))
 	r.Owner = o.member.ID
 	g.recordResult(o, r, p.host.Now(), p.host.Rand())
 	observe(ctx, c, r)
@@ -78,7 +81,8 @@
 	if v != nil && v.snapshot == s {
 		return v
 	}
-	v = newView(s, p.host.Self, v)
+	p.known.expire(s.Members, p.host.Now())
+	v = newView(s, p.host.Self, v, p.known)
 	p.view.Store(v)
 	return v
 }
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -394,9 +394,9 @@
 		members[id] = state.Member{ID: id, Service: fmt.Sprint("s", i%52), Domain: fmt.Sprint("d", i%6)}
 	}
 	s := (&state.Snapshot{Members: members}).Index()
-	v := newView(s, state.Member{Domain: "d0"}, nil)
+	v := newView(s, state.Member{Domain: "d0"}, nil, memories{})
 	b.ReportAllocs()
 	for b.Loop() {
-		v = newView(s, state.Member{Domain: "d0"}, v)
+		v = newView(s, state.Member{Domain: "d0"}, v, memories{})
 	}
 }
--- a/routing/view.go
+++ b/routing/view.go
@@ -25,7 +25,7 @@
 
 // newView builds the view of a snapshot. It reuses the stats of members that
 // the previous view contains.
-func newView(s *state.Snapshot, self state.Member, previous *view) *view {
+func newView(s *state.Snapshot, self state.Member, previous *view, known memories) *view {
 	v := &view{
 		snapshot: s,
 		groups:   map[string]*group{},
@@ -33,14 +33,14 @@
 	}
 	for _, domain := range s.Domains() {
 		for _, m := range s.Domain(domain) {
-			v.add(m, self, previous)
+			v.add(m, self, previous, known.of(m.ID))
 		}
 	}
 	return v
 }
 
-func (v *view) add(m state.Member, self state.Member, previous *view) {
-	o := &owner{stats: previousStats(previous, m.ID), member: m, self: m.ID == self.ID}
+func (v *view) add(m state.Member, self state.Member, previous *view, memory *nodeMemory) {
+	o := &owner{stats: previousStats(previous, m), memory: memory, member: m, self: m.ID == self.ID}
 	v.owners[m.ID] = o
 	g := v.groups[m.Service]
 	if g == nil {
@@ -57,10 +57,15 @@
 	g.remote = append(g.remote, o)
 }
 
-// previousStats returns a member's stats in the previous view, or empty stats.
-func previousStats(previous *view, id state.MemberID) *stats {
-	if previous != nil && previous.owners[id] != nil {
-		return previous.owners[id].stats
+// previousStats returns a member's stats in the previous view, or empty stats. That
+// the former instance beside the member was draining doesn't hold for the next one.
+func previousStats(previous *view, m state.Member) *stats {
+	if previous == nil || previous.owners[m.ID] == nil {
+		return &stats{}
 	}
-	return &stats{}
+	old := previous.owners[m.ID]
+	if !m.Instance.Same(old.member.Instance) {
+		old.drainUntil.Store(0)
+	}
+	return old.stats
 }
--- a/selfreport/tracker.go
+++ b/selfreport/tracker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
 // Response is what one complete response says about the instance that sent it.
@@ -29,7 +30,7 @@
 
 // trackerState is immutable.
 type trackerState struct {
-	incarnation kernel.Incarnation
+	incarnation state.Incarnation
 	rateLimit   float64
 	leaving     bool
 	// heard is set once this process has seen a response of the incarnation.
@@ -48,7 +49,7 @@
 
 // SetInstance sets the incarnation beside the node. Another incarnation has said
 // nothing yet.
-func (t *Tracker) SetInstance(i kernel.Incarnation) {
+func (t *Tracker) SetInstance(i state.Incarnation) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.state.Load()
@@ -65,7 +66,7 @@
 
 // Observe records a response to a request that was sent to the given incarnation.
 // It reports whether what is known has changed.
-func (t *Tracker) Observe(from kernel.Incarnation, r Response) bool {
+func (t *Tracker) Observe(from state.Incarnation, r Response) bool {
 	if s := t.state.Load(); s.heard && s.rateLimit == 0 && r.RateLimit == 0 && s.leaving == r.Leaving && from.Same(s.incarnation) {
 		return false
 	}
@@ -118,6 +119,18 @@
 // Leaving reports whether the instance has said that it shuts down.
 func (t *Tracker) Leaving() bool { return t.state.Load().leaving }
 
+// Attach adds the report to the load report of an owner's result.
+func (t *Tracker) Attach(r *kernel.Result, now time.Time) {
+	report := t.Report(now)
+	if report == nil {
+		return
+	}
+	if r.Load == nil {
+		r.Load = &kernel.Load{}
+	}
+	r.Load.Report = report
+}
+
 // Report returns what the instance has said, or nil if there is nothing to tell.
 func (t *Tracker) Report(now time.Time) *kernel.InstanceReport {
 	s := t.state.Load()
--- a/selfreport/tracker_test.go
+++ b/selfreport/tracker_test.go
@@ -5,12 +5,13 @@
 	"time"
 
 	"github.com/gooseberryflow/gooseberryflow/kernel"
+	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
 var (
 	start  = time.Unix(1_800_000_000, 0)
-	first  = kernel.Incarnation{ID: "i1", StartedMS: 100}
-	second = kernel.Incarnation{ID: "i1", StartedMS: 200}
+	first  = state.Incarnation{ID: "i1", StartedMS: 100}
+	second = state.Incarnation{ID: "i1", StartedMS: 200}
 )
 
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
@@ -47,8 +48,8 @@
 // A limit and the word that an instance shuts down belong to one incarnation.
 func TestAnotherIncarnationHasSaidNothing(t *testing.T) {
 	tr := NewTracker()
-	tr.SetInstance(kernel.Incarnation{ID: "i1"})
-	tr.Observe(kernel.Incarnation{ID: "i1"}, Response{HeadAt: at(0), RateLimit: 5, Leaving: true})
+	tr.SetInstance(state.Incarnation{ID: "i1"})
+	tr.Observe(state.Incarnation{ID: "i1"}, Response{HeadAt: at(0), RateLimit: 5, Leaving: true})
 	tr.SetInstance(first) // a heartbeat tells the start of the same run
 	tr.Observe(first, limited(10, 5))
 	if r := tr.Report(at(15)); r == nil || !r.Leaving || r.RateLimit != 5 || r.Incarnation != first || r.Age != 5*time.Millisecond {
@@ -66,7 +67,7 @@
 func TestReportsOfPeersCountUntilFirstResponse(t *testing.T) {
 	tr := NewTracker()
 	tr.SetInstance(first)
-	report := func(i kernel.Incarnation, limit float64, age time.Duration) kernel.InstanceReport {
+	report := func(i state.Incarnation, limit float64, age time.Duration) kernel.InstanceReport {
 		return kernel.InstanceReport{Incarnation: i, RateLimit: limit, Age: age}
 	}
 	tr.Adopt(report(second, 1, 0), at(0))
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"time"
@@ -29,7 +30,7 @@
 	Method      string
 	Host        string
 	Path        string
-	Header      []string // alternating names and values
+	Header      []string // alternating names and values, and a report
 	Customer    string
 	CallerID    string
 	Origin      string
@@ -45,7 +46,7 @@
 	_            struct{} `cbor:",toarray"`
 	Outcome      uint8
 	Status       int
-	Header       []string // alternating names and values
+	Header       []string // alternating names and values, and a report
 	Reason       string
 	Detail       string
 	RetryAfterMS int64
@@ -105,6 +106,34 @@
 	return flat
 }
 
+// appendReport appends a report to a flattened header as an unpaired last element.
+// The messages are arrays of fixed length, and builds that know no reports ignore an
+// unpaired element.
+func appendReport(flat []string, report *kernel.InstanceReport) []string {
+	if report == nil {
+		return flat
+	}
+	text, err := json.Marshal(report)
+	if err != nil {
+		panic("sidecar: " + err.Error()) // the fields of a report can always be encoded
+	}
+	return append(flat, string(text))
+}
+
+// reportOf returns the report that appendReport has appended, or nil if there is none
+// or it is of an unknown format.
+func reportOf(flat []string) *kernel.InstanceReport {
+	if len(flat)%2 == 0 {
+		return nil
+	}
+	var report kernel.InstanceReport
+	if err := json.Unmarshal([]byte(flat[len(flat)-1]), &report); err != nil {
+		return nil
+	}
+	report.Age = max(report.Age, 0)
+	return &report
+}
+
 func unflattenHeader(flat []string) http.Header {
 	h := make(http.Header, len(flat)/2)
 	for i := 0; i+1 < len(flat); i += 2 {
@@ -122,7 +151,7 @@
 func encodeCall(c *kernel.Call, remaining time.Duration) ([]byte, error) {
 	return encodeMessage(callMessage{
 		Service: c.Service, Route: c.RouteName, Method: c.Method, Host: c.Host, Path: c.Path,
-		Header: flattenHeader(c.Header), Customer: c.Customer, CallerID: c.CallerID, Origin: c.Origin,
+		Header: appendReport(flattenHeader(c.Header), c.Known), Customer: c.Customer, CallerID: c.CallerID, Origin: c.Origin,
 		Priority: uint8(c.Priority), Idempotent: c.Idempotent, Depth: c.Depth, LatencyMS: c.TargetLatencyMS,
 		RemainingUS: remaining.Microseconds(),
 	}, nil)
@@ -140,6 +169,7 @@
 		Service: m.Service, RouteName: m.Route, Method: m.Method, Host: m.Host, Path: m.Path,
 		Header: unflattenHeader(m.Header), Body: body, Customer: m.Customer, CallerID: m.CallerID, Origin: m.Origin,
 		Priority: config.Priority(m.Priority), Idempotent: m.Idempotent, Depth: m.Depth, TargetLatencyMS: m.LatencyMS,
+		Known: reportOf(m.Header),
 	}
 	c.Fingerprint = Fingerprint(c)
 	return c, time.Duration(m.RemainingUS) * time.Microsecond, nil
@@ -155,6 +185,7 @@
 		m.HasLoad = true
 		m.Limit, m.InFlight, m.Queued = l.Limit, l.InFlight, l.Queued
 		m.Draining = l.Draining
+		m.Header = appendReport(m.Header, l.Report)
 	}
 	return encodeMessage(m, r.Body)
 }
@@ -171,7 +202,7 @@
 		InstanceLost: m.InstanceLost, Dispatched: m.Dispatched,
 	}
 	if m.HasLoad {
-		r.Load = &kernel.Load{Limit: m.Limit, InFlight: m.InFlight, Queued: m.Queued, Draining: m.Draining}
+		r.Load = &kernel.Load{Limit: m.Limit, InFlight: m.InFlight, Queued: m.Queued, Draining: m.Draining, Report: reportOf(m.Header)}
 	}
 	return r, nil
 }
--- a/sidecar/instance.go
+++ b/sidecar/instance.go
@@ -6,6 +6,7 @@
 
 	"github.com/gooseberryflow/gooseberryflow/kernel"
 	"github.com/gooseberryflow/gooseberryflow/selfreport"
+	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
 // reportLogInterval is the least time between two log lines about a rate limit that
@@ -26,8 +27,8 @@
 }
 
 // Incarnation identifies this run of the instance.
-func (i Instance) Incarnation() kernel.Incarnation {
-	return kernel.Incarnation{ID: i.ID, StartedMS: i.StartedMS}
+func (i Instance) Incarnation() state.Incarnation {
+	return state.Incarnation{ID: i.ID, StartedMS: i.StartedMS}
 }
 
 // Instance returns what is known about the instance beside the node.
@@ -54,7 +55,7 @@
 
 // ObserveResponse records what a complete response says of the incarnation of the
 // instance to which the request was sent.
-func (n *Node) ObserveResponse(from kernel.Incarnation, r selfreport.Response) {
+func (n *Node) ObserveResponse(from state.Incarnation, r selfreport.Response) {
 	if r.RateLimitError != nil {
 		n.logInvalidLimit(r)
 	}
@@ -63,6 +64,13 @@
 	}
 }
 
+// adoptReport records what an entry node was told by an earlier process of this node.
+func (n *Node) adoptReport(r kernel.InstanceReport) {
+	if n.selfReport.Adopt(r, n.host.Now()) {
+		n.reportChanged("peer")
+	}
+}
+
 func (n *Node) logInvalidLimit(r selfreport.Response) {
 	if left, due := n.invalidLog.due(n.host.Now(), true, false); due {
 		n.log.Warn("rate limit of the instance not understood", "instance", n.Instance().ID, "error", r.RateLimitError,
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -299,10 +299,14 @@
 func (n *Node) serveAsOwner(ctx context.Context, c *kernel.Call) *kernel.Result {
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
+	if c.Known != nil {
+		n.adoptReport(*c.Known)
+	}
 	r := n.refuseAtOwner(c)
 	if r == nil {
 		r = n.owner.Serve(ctx, c)
 	}
+	n.selfReport.Attach(r, n.host.Now())
 	r.Owner = n.host.Self.ID
 	return r
 }
--- a/state/member.go
+++ b/state/member.go
@@ -37,4 +37,7 @@
 	// Slots is the number of calls that the instance runs concurrently, if the
 	// instance reports it; zero means unknown.
 	Slots int `cbor:"9,keyasint,omitempty"`
+	// Instance is the latest instance beside the member; its ID is empty if it isn't
+	// known. It is set from the node's record and not sent.
+	Instance Incarnation `cbor:"-"`
 }
