sidecar, routing: an instance that says that it leaves drains at once

What callers and instances saw: an instance that says in its responses that it shuts down went on getting new requests until a heartbeat said so too, and got them again 5 s after its node's last word, or from the next process of that node, while the store was away. Cause: the header was read by nothing, and an entry node's memory that an instance drains ran out by time instead of with the incarnation.

The node beside the instance now treats the header as the instance's own word that it drains, for this incarnation, whatever heartbeats say, and announces it. Entry nodes remember it until another incarnation is beside that node, and tell it to a process that doesn't know. When the next incarnation is announced, the former one's draining no longer counts, so that it gets calls at once.

TestLeavingInstanceGetsNoCalls guards the memory without a network.

--- a/routing/doc.go
+++ b/routing/doc.go
@@ -33,8 +33,15 @@
 // If no other member is left for a call, an ejected member is used.
 //
 // Draining members get no new calls, whether the membership or the member's own
-// answer says that it drains; an answer counts for 5 s. A call never goes to the
-// same member twice (WithTriedOwners).
+// answer says that it drains; an answer counts for 5 s. An instance that has said
+// itself that it leaves gets none until another one is beside its node. A call never
+// goes to the same member twice (WithTriedOwners).
+//
+// # Reports of instances
+//
+// A node remembers what instances say of themselves (kernel.InstanceReport) by the
+// name of the node beside them and tells it with its calls, so that the next process
+// of that node knows it before it has heard from its instance.
 //
 // # Limits
 //
--- a/routing/memory_test.go
+++ b/routing/memory_test.go
@@ -67,3 +67,27 @@
 		t.Errorf("told %+v after the instance has answered without a limit", told())
 	}
 }
+
+// Guards against calls to a leaving instance once the owner's word that it drains has
+// expired, or its process has restarted; the next instance gets calls at once.
+func TestLeavingInstanceGetsNoCalls(t *testing.T) {
+	b, _ := memoryTestPlugin(t)
+	leaving := kernel.InstanceReport{Incarnation: state.Incarnation{ID: "i1", StartedMS: 1}, Leaving: true}
+	b.setOnlyMember("1", "i1", 1)
+	b.answer = reporting(kernel.Refuse(kernel.ReasonDraining, "", 0), leaving)
+	b.sendCalls(t.Context(), 1)
+	for _, process := range []string{"1", "2"} {
+		b.setOnlyMember(process, "i1", 1)
+		for range 5 {
+			b.now = b.now.Add(drainingTTL)
+			if r := b.sendCalls(t.Context(), 1); r.Reason != kernel.ReasonNoUpstream {
+				t.Fatalf("process %s beside the leaving instance got a call", process)
+			}
+		}
+	}
+	b.answer = func(state.Member) *kernel.Result { return succeeded() }
+	b.setOnlyMember("2", "i1", 2) // restarted under its ID
+	if r := b.sendCalls(t.Context(), 1); r.Outcome != kernel.OutcomeAnswered {
+		t.Error("the next instance gets no calls")
+	}
+}
--- a/routing/owner.go
+++ b/routing/owner.go
@@ -22,8 +22,8 @@
 	rejectShareGain      = 1.0 / 16
 	rejectShareHalfLife  = 2 * time.Second
 	rejectPressureWeight = 2.0
-	// drainingTTL is how long a member counts as draining after it has answered
-	// so.
+	// drainingTTL is how long a member counts as draining after it has answered so,
+	// unless the instance itself has said that it leaves.
 	drainingTTL = 5 * time.Second
 )
 
@@ -99,7 +99,7 @@
 func (o *owner) hasReport() bool { return o.limit.Load() > 0 }
 
 func (o *owner) draining(now time.Time) bool {
-	return o.member.Draining || now.UnixMilli() < o.drainUntil.Load()
+	return o.member.Draining || o.memory.leaving(o.member) || now.UnixMilli() < o.drainUntil.Load()
 }
 
 // selectable reports whether the member may be chosen: it isn't ejected, or its
--- a/sidecar/instance.go
+++ b/sidecar/instance.go
@@ -35,11 +35,13 @@
 func (n *Node) Instance() Instance { return *n.instance.Load() }
 
 // SetInstance sets what is known about the instance from heartbeats,
-// deregistrations and health checks, and announces a change to the other nodes.
+// deregistrations and health checks, and announces a change to the other nodes. An
+// instance that has said in a response that it leaves stays draining.
 func (n *Node) SetInstance(i Instance) {
 	n.instanceMu.Lock()
 	defer n.instanceMu.Unlock()
 	n.selfReport.SetInstance(i.Incarnation())
+	i.Draining = i.Draining || n.selfReport.Leaving()
 	n.replaceInstance(i)
 }
 
@@ -78,8 +80,9 @@
 	}
 }
 
-// reportChanged logs what the instance has said of itself.
+// reportChanged acts on what the instance has said of itself and logs it.
 func (n *Node) reportChanged(source string) {
+	n.drainIfLeaving()
 	limit, leaving := n.selfReport.RateLimit(), n.selfReport.Leaving()
 	if left, due := n.reportLog.due(n.host.Now(), limit > 0, leaving); due {
 		n.log.Info("instance reports on itself", "instance", n.Instance().ID, "rate_limit", limit, "leaving", leaving,
@@ -87,6 +90,16 @@
 	}
 }
 
+// drainIfLeaving makes the instance draining once it has said that it leaves.
+func (n *Node) drainIfLeaving() {
+	n.instanceMu.Lock()
+	defer n.instanceMu.Unlock()
+	if i := n.Instance(); n.selfReport.Leaving() && i.ID != "" && !i.Draining {
+		i.Draining = true
+		n.replaceInstance(i)
+	}
+}
+
 // reportLog limits the log lines about what the instance says of itself, which may
 // differ from response to response.
 type reportLog struct {
