admission, node: the product's own interface knows both reports of instances

Responses may now carry Gooseberry-Rate-Limit and Gooseberry-Leaving. The gate paces starts with the same package, holds no more calls than the limit allows within the longest wait, reports the capacity that is left and tells refused callers when there is room. A leaving instance's node refuses new calls and announces that it drains.

The log of reports moves to package selfreport, where both kinds of node use it. TestRateLimitNamedByInstanceIsKept (virtual time) and TestInstanceReportsReachDecisions; before, neither header was read.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -1,8 +1,10 @@
 package admission
 
 import (
+	"math"
 	"time"
 
+	"github.com/gooseberryflow/gooseberryflow/admission/pace"
 	"github.com/gooseberryflow/gooseberryflow/config"
 	"github.com/gooseberryflow/gooseberryflow/kernel"
 )
@@ -16,6 +18,7 @@
 	minQueueLength         = 64 // queue length at the lowest limits
 	criticalReserveDivisor = 10 // the top priority may use a tenth more than the others
 	minRetryAfter          = 100 * time.Millisecond
+	meanServiceTimeGain    = 0.05 // weight of the latest call in the mean service time
 )
 
 // Status is the state of a call at the gate.
@@ -61,12 +64,15 @@
 	return 2*int(r.Priority) + 1
 }
 
-// Gate decides which calls run at one instance. It does no I/O and reads no
+// Gate decides which calls run at one instance, within the concurrency limit and the
+// rate limit that the instance names. It does no I/O and reads no
 // clock; calls enter by Offer and leave by Done or Cancel. Each of these
 // methods returns the other calls whose status it has changed, in a slice that
 // is valid until the next call of a method. Gate is not safe for concurrent use.
 type Gate struct {
 	limiter               *Limiter
+	pacer                 pace.Pacer
+	meanServiceTime       time.Duration // of all routes
 	queue                 *fairQueue
 	thresholds            *ownerThresholds
 	estimates             map[string]*serviceTimeEstimate
@@ -85,6 +91,10 @@
 	}
 }
 
+// SetRateLimit sets the number of calls per second that the instance accepts; zero
+// means that it names no limit.
+func (g *Gate) SetRateLimit(now time.Time, perSecond float64) { g.pacer.SetRate(now, perSecond) }
+
 // Offer admits, queues or refuses a call.
 func (g *Gate) Offer(now time.Time, r *Request) []*Request {
 	g.changed = g.changed[:0]
@@ -146,34 +156,58 @@
 		g.limiter.RecordShed(now)
 	case completion.Succeeded:
 		g.serviceTimeEstimate(r.Route).observe(now, elapsed)
+		if g.meanServiceTime == 0 {
+			g.meanServiceTime = elapsed
+		}
+		g.meanServiceTime += time.Duration(meanServiceTimeGain * float64(elapsed-g.meanServiceTime))
 		g.limiter.Observe(now, r.startedAt, r.Route, completion.OwnTime)
 	default:
 		g.serviceTimeEstimate(r.Route).observeMinimum(now, elapsed)
 	}
 }
 
-// Tick updates the thresholds and removes idle customers.
-func (g *Gate) Tick(now time.Time) {
+// Tick updates the thresholds, removes idle customers and starts the calls that the
+// rate limit allows by now.
+func (g *Gate) Tick(now time.Time) []*Request {
+	g.changed = g.changed[:0]
 	g.thresholds.tick(now)
 	g.queue.removeIdleFlows()
+	g.dispatch(now)
+	return g.changed
 }
 
-// Load returns the load report for an answer to a customer's call.
-func (g *Gate) Load(customer string) kernel.Load {
+// Load returns the load report for an answer to a customer's call. An instance whose
+// rate limit allows no call now is reported as full.
+func (g *Gate) Load(now time.Time, customer string) kernel.Load {
+	limit, inFlight := g.capacity(), g.inFlight
+	if !g.pacer.Ready(now) {
+		inFlight = max(inFlight, limit)
+	}
 	return kernel.Load{
-		Limit:     g.limit(),
-		InFlight:  g.inFlight,
+		Limit:     limit,
+		InFlight:  inFlight,
 		Queued:    g.queue.length,
 		Threshold: g.thresholds.get(customer),
 	}
 }
 
+// capacity returns the concurrency limit, or the number of calls that run at once at
+// the rate limit, if that is less: by Little's law, the rate times the mean service
+// time.
+func (g *Gate) capacity() int {
+	limit := g.limit()
+	if rate := g.pacer.Rate(); rate > 0 {
+		limit = min(limit, max(int(math.Ceil(min(rate*g.meanServiceTime.Seconds(), maxLimit))), 1))
+	}
+	return limit
+}
+
 // RetryAfter returns when a refused caller may retry: after the queue ahead of
 // it has been served, plus a random delay of up to the same length.
 func (g *Gate) RetryAfter(now time.Time, r *Request, random uint64) time.Duration {
 	serviceTime := g.serviceTimeEstimate(r.Route).value(now)
 	drainTime := serviceTime * time.Duration(g.queue.length+1) / time.Duration(g.limit())
-	return withJitter(max(drainTime, minRetryAfter), random)
+	return withJitter(max(drainTime, g.pacer.Wait(now, g.queue.length+1), minRetryAfter), random)
 }
 
 // withJitter returns a random time between d and twice d.
@@ -184,7 +218,7 @@
 func (g *Gate) dispatch(now time.Time) {
 	for {
 		r := g.queue.head()
-		if r == nil || !g.canStart(r.Priority) {
+		if r == nil || !g.canStart(now, r.Priority) {
 			return
 		}
 		serviceTime := g.serviceTimeEstimate(r.Route).value(now)
@@ -200,8 +234,8 @@
 }
 
 // canStart reports whether a call of a priority may start.
-func (g *Gate) canStart(p config.Priority) bool {
-	if g.inFlight >= g.limit() {
+func (g *Gate) canStart(now time.Time, p config.Priority) bool {
+	if g.inFlight >= g.limit() || !g.pacer.Ready(now) {
 		return false
 	}
 	return p == config.PriorityCritical || g.inFlightBelowCritical < g.limiter.Limit()
@@ -218,6 +252,7 @@
 	g.queue.serve(r)
 	g.thresholds.ran(r)
 	g.inFlight++
+	g.pacer.Start(now)
 	if r.Priority != config.PriorityCritical {
 		g.inFlightBelowCritical++
 	}
@@ -254,8 +289,14 @@
 	return kept
 }
 
+// queueCapacity returns the number of calls that may wait: no more than the rate limit
+// allows within the longest wait.
 func (g *Gate) queueCapacity() int {
-	return max(minQueueLength, queueLengthPerLimit*g.limit())
+	capacity := max(minQueueLength, queueLengthPerLimit*g.limit())
+	if rate := g.pacer.Rate(); rate > 0 {
+		capacity = min(capacity, max(int(min(rate*maxWait.Seconds(), maxLimit)), 1))
+	}
+	return capacity
 }
 
 func (g *Gate) serviceTimeEstimate(route string) *serviceTimeEstimate {
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -220,3 +220,45 @@
 		}
 	}
 }
+
+// Guards against an instance getting more calls than the rate limit that it names.
+// Three times the limit is offered to an instance that could run it all: the limit is
+// kept in every window and used, and the top priority is refused last.
+func TestRateLimitNamedByInstanceIsKept(t *testing.T) {
+	const limit, seconds = 60, 20
+	for _, seed := range seeds {
+		m := newSimInstance(seed, 100, 20*time.Millisecond)
+		m.gate.SetRateLimit(m.now, limit)
+		var starts []time.Time
+		var critical, criticalRan int
+		m.onStatus = func(r *Request) {
+			if r.Priority == config.PriorityCritical {
+				critical++
+			}
+			if r.Status == StatusRunning {
+				starts = append(starts, m.now)
+				if r.Priority == config.PriorityCritical {
+					criticalRan++
+				}
+			}
+		}
+		m.arrivals(2.5*limit, seconds*time.Second, func() *Request { return m.call("a", config.PriorityNormal) })
+		m.arrivals(0.5*limit, seconds*time.Second, func() *Request { return m.call("a", config.PriorityCritical) })
+		m.run(seconds * time.Second)
+		if got := len(starts); got < 0.95*limit*seconds || got > 1.05*limit*seconds {
+			t.Errorf("seed %d: %d calls started in %d s, want about %d", seed, got, seconds, limit*seconds)
+		}
+		for i, first := range starts {
+			last := min(i+int(1.3*limit), len(starts)-1)
+			if last == i+int(1.3*limit) && starts[last].Sub(first) < time.Second {
+				t.Fatalf("seed %d: over %g calls started within a second", seed, 1.3*limit)
+			}
+		}
+		if criticalRan < critical*95/100 {
+			t.Errorf("seed %d: %d of %d calls of the top priority ran", seed, criticalRan, critical)
+		}
+		if load := m.gate.Load(m.now, "a"); load.Limit > 5 {
+			t.Errorf("seed %d: concurrency limit %d is reported, 60 calls a second of 20 ms take 2", seed, load.Limit)
+		}
+	}
+}
--- a/admission/owner.go
+++ b/admission/owner.go
@@ -96,6 +96,7 @@
 func (p *Plugin) offer(now time.Time, req *Request) Status {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.gate.SetRateLimit(now, p.host.InstanceRateLimit())
 	notifyAll(p.gate.Offer(now, req))
 	if req.Status == StatusWaiting {
 		req.statusChanged = make(chan struct{})
@@ -131,7 +132,7 @@
 // attachLoad sets the load of this instance on a result.
 func (p *Plugin) attachLoad(c *kernel.Call, r *kernel.Result) {
 	p.mu.Lock()
-	load := p.gate.Load(c.Customer)
+	load := p.gate.Load(p.host.Now(), c.Customer)
 	p.mu.Unlock()
 	downstream := p.downstream.threshold(routeKey{c.RouteName, c.Customer}, p.host.Now())
 	load.Threshold = min(load.Threshold, relayedThreshold(downstream))
--- a/admission/plugin.go
+++ b/admission/plugin.go
@@ -47,7 +47,8 @@
 // Tick updates the gate and removes expired thresholds.
 func (p *Plugin) Tick(now time.Time) {
 	p.mu.Lock()
-	p.gate.Tick(now)
+	p.gate.SetRateLimit(now, p.host.InstanceRateLimit())
+	notifyAll(p.gate.Tick(now))
 	p.mu.Unlock()
 	if now.Sub(p.lastExpiry) < expireInterval {
 		return
--- a/admission/plugin_test.go
+++ b/admission/plugin_test.go
@@ -263,14 +263,14 @@
 		m.arrivals(1500, 10*time.Second, normal)
 		m.arrivals(400, 20*time.Second, normal)
 		m.run(10 * time.Second)
-		if got := m.gate.Load("a").Threshold; got == MaxThreshold || got < minThreshold {
+		if got := m.gate.Load(m.now, "a").Threshold; got == MaxThreshold || got < minThreshold {
 			t.Errorf("seed %d: threshold %x under overload", seed, got)
 		}
-		if got := m.gate.Load("b").Threshold; got != MaxThreshold {
+		if got := m.gate.Load(m.now, "b").Threshold; got != MaxThreshold {
 			t.Errorf("seed %d: threshold %x for a customer without calls", seed, got)
 		}
 		m.run(15 * time.Second)
-		if got := m.gate.Load("a").Threshold; got != MaxThreshold {
+		if got := m.gate.Load(m.now, "a").Threshold; got != MaxThreshold {
 			t.Errorf("seed %d: threshold %x five seconds after the overload", seed, got)
 		}
 	}
--- a/admission/sim_test.go
+++ b/admission/sim_test.go
@@ -44,7 +44,7 @@
 }
 
 func (m *simInstance) tick() {
-	m.gate.Tick(m.now)
+	m.applyStatus(m.gate.Tick(m.now))
 	m.schedule(kernel.TickInterval, m.tick)
 }
 
--- a/node/forward.go
+++ b/node/forward.go
@@ -94,13 +94,14 @@
 	defer n.inFlight.Add(-1)
 	n.metrics.inFlight.Add(1)
 	defer n.metrics.inFlight.Add(-1)
-	if n.stopping.Load() {
-		r := kernel.Refuse(kernel.ReasonDraining, "the owner node is stopping", drainingRetryAfter)
-		r.Load = &kernel.Load{Draining: true}
+	if n.stopping.Load() || n.selfReport.Leaving() {
+		r := kernel.Refuse(kernel.ReasonDraining, "the owner node or its instance is stopping", drainingRetryAfter)
+		r.Load = &kernel.Load{Draining: true, Report: n.selfReport.Report(n.host.Now())}
 		r.Owner = n.self.ID
 		return r
 	}
 	r := n.owner.Serve(ctx, c)
+	n.selfReport.Attach(r, n.host.Now())
 	r.Owner = n.self.ID
 	return r
 }
--- a/node/header.go
+++ b/node/header.go
@@ -17,6 +17,8 @@
 	headerRequestID     = "Gooseberry-Request-Id"
 	headerDeadlineMS    = "Gooseberry-Deadline-Ms"
 	headerCustomer      = "Gooseberry-Customer"
+	headerRateLimit     = "Gooseberry-Rate-Limit"
+	headerLeaving       = "Gooseberry-Leaving"
 	headerIdempotency   = "Idempotency-Key"
 	headerAuthorization = "Authorization"
 	bearerPrefix        = "Bearer "
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/gooseberryflow/gooseberryflow/membership"
 	"github.com/gooseberryflow/gooseberryflow/peer"
 	"github.com/gooseberryflow/gooseberryflow/report"
+	"github.com/gooseberryflow/gooseberryflow/selfreport"
 	"github.com/gooseberryflow/gooseberryflow/state"
 	"github.com/gooseberryflow/gooseberryflow/streamlog"
 )
@@ -84,6 +85,8 @@
 	network    *peer.Network
 	membership *membership.Service
 	upstream   *upstream
+	selfReport *selfreport.Tracker
+	reportLog  *selfreport.Log
 	metrics    *metrics
 	recorder   *report.Recorder
 	log        *slog.Logger
@@ -93,6 +96,7 @@
 	callerServer         *http.Server
 	adminServer          *http.Server
 	stopping             atomic.Bool
+	announceLeaving      sync.Once
 	inFlight             atomic.Int64
 	incarnationEnded     chan struct{}
 	incarnationEndedOnce sync.Once
@@ -114,6 +118,8 @@
 		recorder:         report.NewRecorder(),
 		log:              logger,
 		incarnationEnded: make(chan struct{}),
+		selfReport:       selfreport.NewTracker(),
+		reportLog:        selfreport.NewLog(logger),
 	}
 	n.self = state.Member{
 		ID:      state.MemberID(uuid.NewString()),
@@ -176,17 +182,20 @@
 	if err != nil {
 		return err
 	}
+	n.selfReport.SetInstance(n.incarnation())
 	n.host = &kernel.Host{
-		Self:     n.self,
-		Now:      time.Now,
-		Rand:     rand.Uint64,
-		Snapshot: n.membership.Snapshot,
-		Peers:    n.network,
-		Log:      n.log,
-		Forward:  n.forward,
-		Go:       n.background.Go,
+		Self:      n.self,
+		Now:       time.Now,
+		Rand:      rand.Uint64,
+		Snapshot:  n.membership.Snapshot,
+		RateLimit: n.selfReport.RateLimit,
+		Peers:     n.network,
+		Log:       n.log,
+		Forward:   n.forward,
+		Go:        n.background.Go,
 	}
 	n.upstream = newUpstream(n.settings.UpstreamAddr, n.settings.BodyLimitBytes, n.host.Now, n.metrics)
+	n.upstream.observe = n.observeResponse
 	if n.plugins, err = kernel.NewPluginSet(n.host, n.settings.Plugins); err != nil {
 		return err
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -18,6 +18,7 @@
 	"github.com/gooseberryflow/gooseberryflow/kernel"
 	"github.com/gooseberryflow/gooseberryflow/peer"
 	"github.com/gooseberryflow/gooseberryflow/retry"
+	"github.com/gooseberryflow/gooseberryflow/selfreport"
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
@@ -238,3 +239,34 @@
 		}
 	})
 }
+
+// Guards against an instance's word on itself not reaching the decisions: its rate
+// limit and that it leaves.
+func TestInstanceReportsReachDecisions(t *testing.T) {
+	limit := "20"
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerRateLimit, limit)
+		if limit == "" {
+			w.Header().Set(headerLeaving, "1")
+		}
+	}))
+	defer server.Close()
+	u := newUpstream(strings.TrimPrefix(server.URL, "http://"), testBodyLimit, time.Now, newMetrics())
+	var got selfreport.Response
+	u.observe = func(r selfreport.Response) { got = r }
+	call := &kernel.Call{Method: http.MethodGet, Path: "/", DeadlineMS: time.Now().Add(time.Minute).UnixMilli()}
+	if r := u.Serve(t.Context(), call); r.Outcome != kernel.OutcomeAnswered || got.RateLimit != 20 || got.Leaving {
+		t.Errorf("result %+v, report %+v", r, got)
+	}
+	limit = ""
+	if u.Serve(t.Context(), call); got.RateLimitError == nil || !got.Leaving {
+		t.Errorf("report %+v of an empty limit and a leaving instance", got)
+	}
+	n := &Node{selfReport: selfreport.NewTracker(), self: state.Member{ID: "m"}}
+	n.selfReport.Observe(n.incarnation(), selfreport.Response{HeadAt: time.Now(), Leaving: true})
+	n.host = &kernel.Host{Now: time.Now}
+	n.metrics = newMetrics()
+	if r := n.serveAsOwner(t.Context(), call); r.Reason != kernel.ReasonDraining || !r.Load.Report.Leaving {
+		t.Errorf("a call to a leaving instance: %+v", r)
+	}
+}
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -15,6 +15,7 @@
 
 	"github.com/gooseberryflow/gooseberryflow/kernel"
 	"github.com/gooseberryflow/gooseberryflow/retry"
+	"github.com/gooseberryflow/gooseberryflow/selfreport"
 )
 
 const (
@@ -32,6 +33,8 @@
 	now       func() time.Time
 	bodyLimit int64
 	metrics   *metrics
+	// observe is called with what a complete response says of the instance.
+	observe func(selfreport.Response)
 }
 
 func newUpstream(address string, bodyLimit int64, now func() time.Time, m *metrics) *upstream {
@@ -50,6 +53,7 @@
 		now:       now,
 		bodyLimit: bodyLimit,
 		metrics:   m,
+		observe:   func(selfreport.Response) {},
 	}
 }
 
@@ -83,6 +87,7 @@
 		return u.failedResult(ctx, connected.Load(), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	headAt := u.now()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, u.bodyLimit+1))
 	if err != nil {
 		return u.failedResult(ctx, true, err)
@@ -90,9 +95,16 @@
 	if int64(len(body)) > u.bodyLimit {
 		return kernel.Unknown(kernel.ReasonUpstream, "the upstream's answer exceeds the body limit")
 	}
+	u.observe(selfReport(resp.Header, headAt))
 	return u.responseResult(resp, body)
 }
 
+// selfReport returns what the header of a response says of the instance.
+func selfReport(h http.Header, headAt time.Time) selfreport.Response {
+	limit, err := selfreport.ParseRateLimit(h[headerRateLimit])
+	return selfreport.Response{HeadAt: headAt, RateLimit: limit, RateLimitError: err, Leaving: h.Get(headerLeaving) == "1"}
+}
+
 // responseResult maps a complete response to a result.
 func (u *upstream) responseResult(resp *http.Response, body []byte) *kernel.Result {
 	if resp.Header.Get(headerOutcome) == kernel.OutcomeNotRun.String() {
--- a/sidecar/instance.go
+++ b/sidecar/instance.go
@@ -1,18 +1,11 @@
 package sidecar
 
 import (
-	"sync"
-	"time"
-
 	"github.com/gooseberryflow/gooseberryflow/kernel"
 	"github.com/gooseberryflow/gooseberryflow/selfreport"
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
-// reportLogInterval is the least time between two log lines about a rate limit that
-// only changes its value.
-const reportLogInterval = time.Second
-
 // Instance is what is known about the instance beside the node.
 type Instance struct {
 	ID       string
@@ -59,7 +52,7 @@
 // instance to which the request was sent.
 func (n *Node) ObserveResponse(from state.Incarnation, r selfreport.Response) {
 	if r.RateLimitError != nil {
-		n.logInvalidLimit(r)
+		n.reportLog.Invalid(n.host.Now(), n.selfReport, r.RateLimitError)
 	}
 	if n.selfReport.Observe(from, r) {
 		n.reportChanged("response")
@@ -73,21 +66,10 @@
 	}
 }
 
-func (n *Node) logInvalidLimit(r selfreport.Response) {
-	if left, due := n.invalidLog.due(n.host.Now(), true, false); due {
-		n.log.Warn("rate limit of the instance not understood", "instance", n.Instance().ID, "error", r.RateLimitError,
-			"in_force", n.selfReport.RateLimit(), "not_logged", left)
-	}
-}
-
 // reportChanged acts on what the instance has said of itself and logs it.
 func (n *Node) reportChanged(source string) {
 	n.drainIfLeaving()
-	limit, leaving := n.selfReport.RateLimit(), n.selfReport.Leaving()
-	if left, due := n.reportLog.due(n.host.Now(), limit > 0, leaving); due {
-		n.log.Info("instance reports on itself", "instance", n.Instance().ID, "rate_limit", limit, "leaving", leaving,
-			"source", source, "not_logged", left)
-	}
+	n.reportLog.Changed(n.host.Now(), n.selfReport, source)
 }
 
 // drainIfLeaving makes the instance draining once it has said that it leaves.
@@ -99,25 +81,3 @@
 		n.replaceInstance(i)
 	}
 }
-
-// reportLog limits the log lines about what the instance says of itself, which may
-// differ from response to response.
-type reportLog struct {
-	mu               sync.Mutex
-	limited, leaving bool
-	loggedAt         time.Time
-	left             int // changes that were not logged
-}
-
-// due reports whether a change is to be logged, and how many before it were not.
-func (l *reportLog) due(now time.Time, limited, leaving bool) (left int, due bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if limited == l.limited && leaving == l.leaving && now.Sub(l.loggedAt) < reportLogInterval {
-		l.left++
-		return 0, false
-	}
-	left = l.left
-	l.limited, l.leaving, l.loggedAt, l.left = limited, leaving, now, 0
-	return left, true
-}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -86,8 +86,7 @@
 	instanceMu       sync.Mutex // held while instance is replaced
 	instance         atomic.Pointer[Instance]
 	selfReport       *selfreport.Tracker
-	reportLog        reportLog // changes
-	invalidLog       reportLog // rate limits that can't be read
+	reportLog        *selfreport.Log
 	cancelBackground context.CancelFunc
 	background       sync.WaitGroup
 }
@@ -107,7 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{settings: s, network: network, log: log, metrics: newMetrics(), selfReport: selfreport.NewTracker()}
+	n := &Node{settings: s, network: network, log: log, metrics: newMetrics(), selfReport: selfreport.NewTracker(), reportLog: selfreport.NewLog(log)}
 	n.instance.Store(&Instance{})
 	n.SetLimits(s.Limits)
 	n.directory = directory.New(directory.Options{
