sidecar: that an instance leaves outlives the process it was told to

The same class of fault, found by going through what instances say: a process that had acknowledged a draining heartbeat or a deregistration and was then killed while the store was away knew nothing of it any more; a health answer that wrongly says 200 made the instance available again. What heartbeats and deregistrations say now goes into the report that entry nodes remember and tell the next process. Where the start of an incarnation isn't known, a later start under the same ID ends the word.

--- a/node/node.go
+++ b/node/node.go
@@ -182,7 +182,7 @@
 	if err != nil {
 		return err
 	}
-	n.selfReport.SetInstance(n.incarnation())
+	n.selfReport.SetInstance(n.incarnation(), false, time.Now())
 	n.host = &kernel.Host{
 		Self:      n.self,
 		Now:       time.Now,
--- a/routing/memory.go
+++ b/routing/memory.go
@@ -63,7 +63,13 @@
 // leaving reports whether the instance beside a member has said that it shuts down.
 func (m *nodeMemory) leaving(member state.Member) bool {
 	known := m.report.Load()
-	return known != nil && known.Leaving && (member.Instance.ID == "" || member.Instance.Same(known.Incarnation))
+	if known == nil || !known.Leaving {
+		return false
+	}
+	if known.Incarnation.StartedMS == 0 && member.Instance.StartedMS > known.at.UnixMilli() {
+		return false
+	}
+	return member.Instance.ID == "" || member.Instance.Same(known.Incarnation)
 }
 
 // memories holds the memory of each node by its name. It is not safe for concurrent
--- a/selfreport/tracker.go
+++ b/selfreport/tracker.go
@@ -33,6 +33,8 @@
 	incarnation state.Incarnation
 	rateLimit   float64
 	leaving     bool
+	// leavingAt is when the instance had said that it leaves, at the latest.
+	leavingAt time.Time
 	// heard is set once this process has seen a response of the incarnation.
 	heard bool
 	// at is when the response that set or ended the rate limit was sent, as far as
@@ -47,23 +49,35 @@
 	return t
 }
 
-// SetInstance sets the incarnation beside the node. Another incarnation has said
-// nothing yet.
-func (t *Tracker) SetInstance(i state.Incarnation) {
+// SetInstance sets the incarnation beside the node, and whether it has said outside of
+// its responses that it leaves. Another incarnation has said nothing yet.
+func (t *Tracker) SetInstance(i state.Incarnation, leaving bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.state.Load()
-	if !i.Same(old.incarnation) {
-		t.state.Store(&trackerState{incarnation: i})
-		return
+	next := *old
+	if !i.Same(old.incarnation) || old.leaving && startedAfter(i, old.leavingAt) {
+		next = trackerState{incarnation: i}
 	}
-	if i.StartedMS != 0 && old.incarnation.StartedMS == 0 {
-		next := *old
+	if i.StartedMS != 0 {
 		next.incarnation = i
+	}
+	next.setLeaving(leaving, now)
+	if next != *old {
 		t.state.Store(&next)
 	}
 }
 
+// startedAfter reports whether an incarnation is known to have started after a time.
+func startedAfter(i state.Incarnation, at time.Time) bool { return i.StartedMS > at.UnixMilli() }
+
+// setLeaving records that the instance has said by the given time that it leaves.
+func (s *trackerState) setLeaving(leaving bool, at time.Time) {
+	if leaving && !s.leaving {
+		s.leaving, s.leavingAt = true, at
+	}
+}
+
 // Observe records a response to a request that was sent to the given incarnation.
 // It reports whether what is known has changed.
 func (t *Tracker) Observe(from state.Incarnation, r Response) bool {
@@ -80,7 +94,7 @@
 	case !from.Same(old.incarnation):
 		return false
 	}
-	next.leaving = old.leaving || r.Leaving
+	next.setLeaving(r.Leaving, r.HeadAt)
 	invalid := r.RateLimitError != nil && r.RateLimit == 0
 	if !invalid && !(old.heard && r.HeadAt.Before(old.at)) {
 		next.rateLimit, next.at = r.RateLimit, r.HeadAt
@@ -104,8 +118,11 @@
 		return false
 	}
 	next := *old
-	next.leaving = old.leaving || r.Leaving
-	if at := now.Add(-r.Age); !old.heard && r.RateLimit > 0 && at.After(old.at) {
+	at := now.Add(-r.Age)
+	if !startedAfter(old.incarnation, at) {
+		next.setLeaving(r.Leaving, at)
+	}
+	if !old.heard && r.RateLimit > 0 && at.After(old.at) {
 		next.rateLimit, next.at = min(max(r.RateLimit, MinRateLimit), MaxRateLimit), at
 	}
 	t.state.Store(&next)
@@ -137,7 +154,11 @@
 	if s.rateLimit == 0 && !s.leaving {
 		return nil
 	}
+	at := s.at
+	if s.leavingAt.After(at) {
+		at = s.leavingAt
+	}
 	return &kernel.InstanceReport{
-		Incarnation: s.incarnation, RateLimit: s.rateLimit, Leaving: s.leaving, Age: max(now.Sub(s.at), 0),
+		Incarnation: s.incarnation, RateLimit: s.rateLimit, Leaving: s.leaving, Age: max(now.Sub(at), 0),
 	}
 }
--- a/selfreport/tracker_test.go
+++ b/selfreport/tracker_test.go
@@ -10,8 +10,8 @@
 
 var (
 	start  = time.Unix(1_800_000_000, 0)
-	first  = state.Incarnation{ID: "i1", StartedMS: 100}
-	second = state.Incarnation{ID: "i1", StartedMS: 200}
+	first  = state.Incarnation{ID: "i1", StartedMS: start.UnixMilli() - 100}
+	second = state.Incarnation{ID: "i1", StartedMS: start.UnixMilli() + 60_000}
 )
 
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
@@ -22,7 +22,7 @@
 // arrived last decides.
 func TestLatestResponseSetsAndEndsLimit(t *testing.T) {
 	tr := NewTracker()
-	tr.SetInstance(first)
+	tr.SetInstance(first, false, start)
 	steps := []struct {
 		what string
 		r    Response
@@ -48,14 +48,14 @@
 // A limit and the word that an instance shuts down belong to one incarnation.
 func TestAnotherIncarnationHasSaidNothing(t *testing.T) {
 	tr := NewTracker()
-	tr.SetInstance(state.Incarnation{ID: "i1"})
+	tr.SetInstance(state.Incarnation{ID: "i1"}, false, start)
 	tr.Observe(state.Incarnation{ID: "i1"}, Response{HeadAt: at(0), RateLimit: 5, Leaving: true})
-	tr.SetInstance(first) // a heartbeat tells the start of the same run
+	tr.SetInstance(first, false, start) // a heartbeat tells the start of the same run
 	tr.Observe(first, limited(10, 5))
 	if r := tr.Report(at(15)); r == nil || !r.Leaving || r.RateLimit != 5 || r.Incarnation != first || r.Age != 5*time.Millisecond {
 		t.Fatalf("report %+v", r)
 	}
-	tr.SetInstance(second)
+	tr.SetInstance(second, false, start)
 	tr.Observe(first, limited(20, 5))
 	if r := tr.Report(at(20)); r != nil {
 		t.Errorf("the next incarnation got the report %+v of the former one", r)
@@ -66,7 +66,7 @@
 // instance has answered it.
 func TestReportsOfPeersCountUntilFirstResponse(t *testing.T) {
 	tr := NewTracker()
-	tr.SetInstance(first)
+	tr.SetInstance(first, false, start)
 	report := func(i state.Incarnation, limit float64, age time.Duration) kernel.InstanceReport {
 		return kernel.InstanceReport{Incarnation: i, RateLimit: limit, Age: age}
 	}
@@ -89,3 +89,29 @@
 		t.Error("the word of a peer that the instance shuts down was ignored")
 	}
 }
+
+// An instance whose start isn't known says that it leaves. A heartbeat that names the
+// start belongs to the same run, unless it started later.
+func TestLeavingHoldsUntilLaterStart(t *testing.T) {
+	unknown := state.Incarnation{ID: "i1"}
+	for i, leaves := range map[state.Incarnation]bool{first: true, second: false} {
+		tr := NewTracker()
+		tr.SetInstance(unknown, false, start)
+		tr.Observe(unknown, Response{HeadAt: at(10), Leaving: true})
+		tr.SetInstance(i, false, at(20))
+		if tr.Leaving() != leaves {
+			t.Errorf("started %d: leaving %v", i.StartedMS, tr.Leaving())
+		}
+	}
+}
+
+// What an instance says in heartbeats is told to other nodes, too.
+func TestLeavingByHeartbeatIsReported(t *testing.T) {
+	tr := NewTracker()
+	tr.SetInstance(first, false, start)
+	tr.SetInstance(first, true, at(10))
+	tr.SetInstance(first, false, at(20)) // a late heartbeat
+	if r := tr.Report(at(30)); r == nil || !r.Leaving || r.Incarnation != first || r.Age != 20*time.Millisecond {
+		t.Errorf("report %+v", r)
+	}
+}
