graph: levels of a service count by what its instances can take

What callers saw: with two of three instances at limits of a twenty-fifth of their load and the third with room for all, 8% of all requests were refused. Cause: the level of a service was the plain mean over its instances, so that two nearly closed ones outvoted the one with room.

A node whose instance names a limit now tells the calls that it can run at once with its level; without one the instance's slots count, as equal slots did before. The field is optional between nodes. TestServiceLevelWeighsInstancesByCapacity.

--- a/admission/graph/gate_test.go
+++ b/admission/graph/gate_test.go
@@ -161,18 +161,19 @@
 // all ranks.
 func TestServiceLevelAveragesFreshReports(t *testing.T) {
 	tab := newLevelTable()
+	members := []state.Member{{ID: "a"}, {ID: "b"}}
 	tab.record(notice{From: "a", Service: "desk", Level: 1000}, start)
-	if got := tab.serviceLevel("desk", 2, 3, start).level; got != 2 {
+	if got := tab.serviceLevel("desk", members, 3, start).level; got != 2 {
 		t.Errorf("one of two instances at 1: level %g, want 2", got)
 	}
 	tab.record(notice{From: "b", Service: "desk", Level: -1}, start)
-	if got := tab.serviceLevel("desk", 2, 3, start).level; got != 2 {
+	if got := tab.serviceLevel("desk", members, 3, start).level; got != 2 {
 		t.Errorf("other instance admits all: level %g, want 2", got)
 	}
-	if got := tab.serviceLevel("desk", 2, 3, start.Add(2*levelTTL)).level; got != 3 {
+	if got := tab.serviceLevel("desk", members, 3, start.Add(2*levelTTL)).level; got != 3 {
 		t.Errorf("outdated levels: %g, want the top", got)
 	}
-	if got := tab.serviceLevel("none", 0, config.PriorityCount, start).level; got != config.PriorityCount {
+	if got := tab.serviceLevel("none", nil, config.PriorityCount, start).level; got != config.PriorityCount {
 		t.Errorf("unknown service: level %g, want the top", got)
 	}
 }
--- a/admission/graph/paced_test.go
+++ b/admission/graph/paced_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
 // newPacedGate returns a gate with many slots whose instance has named a limit a
@@ -87,3 +89,16 @@
 		t.Errorf("%.0f requests a second are admitted, want about %g", mean, limit)
 	}
 }
+
+// Guards against refusing requests that fit: two of three instances name limits of
+// almost nothing, and the third has room for all.
+func TestServiceLevelWeighsInstancesByCapacity(t *testing.T) {
+	tab := newLevelTable()
+	members := []state.Member{{ID: "a", Slots: 100}, {ID: "b", Slots: 100}, {ID: "c", Slots: 100}}
+	for _, id := range []state.MemberID{"a", "b"} {
+		tab.record(notice{From: id, Service: "logs", Level: 0, Capacity: 2}, start)
+	}
+	if got := tab.serviceLevel("logs", members, 3, start).level; got < 2.8 {
+		t.Errorf("level %.2f, want nearly 3: the third instance has 100 of 104 calls to run", got)
+	}
+}
--- a/admission/graph/plugin.go
+++ b/admission/graph/plugin.go
@@ -132,6 +132,9 @@
 		p.fanout.Solve()
 	}
 	n := notice{From: p.host.Self.ID, Service: p.host.Self.Service, Level: -1}
+	if p.gate.pacer.Rate() > 0 {
+		n.Capacity = p.gate.Capacity(now)
+	}
 	if !p.level.AdmitsAll() {
 		n.Level = int(p.level.Value() * 1000)
 	}
@@ -312,7 +315,7 @@
 	if current, ok := p.serviceLevels[service]; ok {
 		return current
 	}
-	current := p.levelTable.serviceLevel(service, len(s.Service(service)), p.top, now)
+	current := p.levelTable.serviceLevel(service, s.Service(service), p.top, now)
 	p.serviceLevels[service] = current
 	return current
 }
--- a/admission/graph/table.go
+++ b/admission/graph/table.go
@@ -1,6 +1,7 @@
 package graph
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/gooseberryflow/gooseberryflow/state"
@@ -21,12 +22,16 @@
 	Service string         `cbor:"2,keyasint"`
 	// Level is in thousandths of a rank; negative when it admits all ranks.
 	Level int `cbor:"3,keyasint"`
+	// Capacity is the number of calls that the instance runs at once at its rate
+	// limit; zero if it names none.
+	Capacity int `cbor:"4,keyasint,omitempty"`
 }
 
 // memberLevel is the latest level received from a member.
 type memberLevel struct {
 	service    string
 	level      float64
+	capacity   int // zero: the member's slots
 	admitsAll  bool
 	receivedAt time.Time
 }
@@ -48,6 +53,7 @@
 	m.service, m.receivedAt = n.Service, now
 	m.admitsAll = n.Level < 0
 	m.level = float64(n.Level) / 1000
+	m.capacity = n.Capacity
 }
 
 // serviceLevel is the admission level of a service.
@@ -60,29 +66,32 @@
 	oldestAge           time.Duration
 }
 
-// serviceLevel returns the mean level of a service's instances. Instances
-// without a valid level count as admitting all ranks, that is, as top.
-func (t *levelTable) serviceLevel(service string, instances int, top float64, now time.Time) serviceLevel {
-	s := serviceLevel{instances: instances}
-	sum := 0.0
-	for _, m := range t.members {
-		if m.service != service || now.Sub(m.receivedAt) > levelTTL {
-			continue
-		}
-		s.reported++
-		s.oldestAge = max(s.oldestAge, now.Sub(m.receivedAt))
-		if m.admitsAll {
-			sum += top
-		} else {
-			sum += m.level
+// serviceLevel returns the mean level of a service's members, weighted by the calls
+// that their instances can run at once. Members without a valid level count as
+// admitting all ranks, that is, as top.
+func (t *levelTable) serviceLevel(service string, members []state.Member, top float64, now time.Time) serviceLevel {
+	s := serviceLevel{instances: len(members)}
+	sum, total := 0.0, 0.0
+	for _, member := range members {
+		level, weight := top, float64(cmp.Or(max(member.Slots, 0), defaultSlots))
+		if m := t.members[member.ID]; m != nil && m.service == service && now.Sub(m.receivedAt) <= levelTTL {
+			s.reported++
+			s.oldestAge = max(s.oldestAge, now.Sub(m.receivedAt))
+			if !m.admitsAll {
+				level = m.level
+			}
+			if m.capacity > 0 {
+				weight = float64(m.capacity)
+			}
 		}
+		sum += weight * level
+		total += weight
 	}
 	if s.reported == 0 {
 		s.level = top
 		return s
 	}
-	unreported := max(instances-s.reported, 0)
-	s.level = (sum + float64(unreported)*top) / float64(s.reported+unreported)
+	s.level = sum / total
 	return s
 }
 
