--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -88,6 +88,20 @@
 				h.runs = append(h.runs, h.runs[0])
 			}
 		}},
+		{"limit", func(h *history, s *sentRequest, at time.Time) {
+			s.ResponseMeta.Instance, s.ResponseMeta.RateLimited = "i1", true
+			h.limits = []namedLimit{{instance: "i1", perSecond: 10, interval: interval{at, at.Add(10 * time.Second)}}}
+			for range 36 {
+				h.arrivals["i1"] = append(h.arrivals["i1"], arrival{s.ID, at.Add(2 * time.Second)})
+			}
+		}},
+		{"leaving", func(h *history, s *sentRequest, at time.Time) {
+			s.ResponseMeta.Instance, s.ResponseMeta.Leaving = "i1", true
+			later := *s
+			later.ID, later.At, later.EndedAt, later.ResponseMeta = "r2", at.Add(5*time.Second), time.Time{}, standin.ResponseMeta{}
+			h.sent["r2"] = &later
+			h.runs = append(h.runs, run{ID: "r2", At: later.At, Node: 1, Instance: "i1", Service: "status", Customer: "farm", Origin: "maps"})
+		}},
 		{"budget", func(h *history, s *sentRequest, _ time.Time) {
 			for range retrySlack + 2 {
 				h.repeatArrivals["status"] = append(h.repeatArrivals["status"], s.At)
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -17,7 +17,8 @@
 // late, compacts its history, is restored from a backup, sends endless responses
 // and reassigns partitions. Instances lose, truncate or duplicate responses, send
 // endless ones, reject requests, also before the body has arrived, hang, drain
-// and are replaced. Some callers pipeline requests or close their connection
+// and are replaced; they name rate limits, odd ones too, and say in responses only
+// that they leave, while the nodes beside them are killed and stopped in turn. Some callers pipeline requests or close their connection
 // early. Faults overlap.
 //
 // # Checks
@@ -25,7 +26,9 @@
 // Non-idempotent requests run at most once and never after a refusal. A success
 // is the complete response to its own request. Runs have the right customer and
 // no API key. A draining instance gets nothing new. A configuration comes into
-// force in time and is never rolled back. A withdrawn key stops working on every
+// force in time and is never rolled back. An instance that names a rate limit gets no
+// more than it allows, also across restarts, and one that says that it leaves gets
+// nothing new. A withdrawn key stops working on every
 // node. The fleet keeps a customer's rate and the retry budget. A planned stop
 // loses nothing. The fleet serves again when the faults end. Each check has a
 // test in which it fails.
@@ -37,4 +40,5 @@
 //
 //	go test ./soak                                   # a few short seeds
 //	go test ./soak -run TestSoak -seeds 50 -first 100 -timeout 60m
+//	go test ./soak -run TestSoak -seeds 2 -copies 10 -side 1
 package soak
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -27,9 +27,12 @@
 	portRetryPause         = 300 * time.Millisecond
 	// rewriteDelay is the time from the restore of the store until the operator
 	// rewrites the latest configuration.
-	rewriteDelay  = time.Second
-	stormChanges  = 4
-	stormInterval = 250 * time.Millisecond
+	rewriteDelay = time.Second
+	stormChanges = 4
+	// limitPerSecond is the rate limit that instances name; callers ask for more.
+	limitPerSecond = 12.0
+	restartCount   = 3
+	stormInterval  = 250 * time.Millisecond
 )
 
 // event is one fault of a schedule.
@@ -54,18 +57,19 @@
 		"store-cut", "store-silence", "compact", "rebalance", "link-delay", "link-cut", "link-silence", "link-reset",
 		"answers-lost", "answers-short", "answers-extra", "rejects", "leave", "change", "storm", "withdraw", "withdraw",
 	}
-	allKinds = append(slices.Clone(originalKinds), "answers-early", "silence", "answers-endless", "store-endless", "store-restored")
+	allKinds = append(slices.Clone(originalKinds), "answers-early", "silence", "answers-endless", "store-endless", "store-restored",
+		"limit", "limit-restarts", "limit-odd", "leave-in-answers")
 )
 
 // drawSchedule draws the events of a run.
-func drawSchedule(rng *rand.Rand, kinds []string, count int, length time.Duration) []event {
+func drawSchedule(rng *rand.Rand, kinds []string, nodes, count int, length time.Duration) []event {
 	var events []event
 	for range count {
 		events = append(events, event{
 			kind:      kinds[rng.IntN(len(kinds))],
 			start:     time.Duration(rng.Int64N(int64(length))),
 			duration:  minFaultDuration + time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration))),
-			node:      rng.IntN(len(placements)),
+			node:      rng.IntN(nodes),
 			direction: faultproxy.Direction(rng.IntN(2)),
 		})
 	}
@@ -77,13 +81,14 @@
 type faultInjector struct {
 	f           *fleet
 	processMu   []sync.Mutex // by node
+	limitMu     []sync.Mutex // by node
 	storeMu     sync.Mutex
 	storeFaults standin.Faults
 	configMu    sync.Mutex
 }
 
 func newFaultInjector(f *fleet) *faultInjector {
-	return &faultInjector{f: f, processMu: make([]sync.Mutex, len(f.nodes))}
+	return &faultInjector{f: f, processMu: make([]sync.Mutex, len(f.nodes)), limitMu: make([]sync.Mutex, len(f.nodes))}
 }
 
 // runSchedule injects all events and returns when the last one is over.
@@ -151,6 +156,14 @@
 		x.injectInstanceFault(e, n, standin.FaultEndless)
 	case "leave":
 		x.drainAndReplace(n)
+	case "limit":
+		x.nameLimit(e, n, func() { time.Sleep(e.duration) })
+	case "limit-restarts":
+		x.nameLimit(e, n, func() { x.restartRepeatedly(e, n) })
+	case "limit-odd":
+		x.nameOddLimits(e, n)
+	case "leave-in-answers":
+		x.leaveInAnswers(e, n)
 	default:
 		x.changeConfig(e)
 	}
@@ -322,6 +335,62 @@
 	}
 }
 
+// nameLimit makes the instance name a rate limit while another fault lasts.
+func (x *faultInjector) nameLimit(e event, n *node, during func()) {
+	x.limitMu[e.node].Lock()
+	defer x.limitMu[e.node].Unlock()
+	l := namedLimit{instance: n.instanceID(), perSecond: limitPerSecond, interval: interval{from: time.Now()}}
+	n.instance.NameLimit(fmt.Sprint(limitPerSecond))
+	during()
+	time.Sleep(limitWindow)
+	l.to = time.Now()
+	n.instance.NameLimit("")
+	h := x.f.history
+	h.mu.Lock()
+	h.limits = append(h.limits, l)
+	h.mu.Unlock()
+}
+
+// restartRepeatedly kills and stops the node's process in turn.
+func (x *faultInjector) restartRepeatedly(e event, n *node) {
+	for i := range restartCount {
+		kind := "kill"
+		if i%2 == 1 {
+			kind = "stop"
+		}
+		x.inject(event{kind: kind, node: e.node, duration: minFaultDuration})
+		time.Sleep(limitNotice)
+	}
+}
+
+// nameOddLimits makes the instance name limits that can't be read or are extreme.
+func (x *faultInjector) nameOddLimits(e event, n *node) {
+	x.limitMu[e.node].Lock()
+	defer x.limitMu[e.node].Unlock()
+	from := time.Now()
+	for _, text := range []string{"-1", "nan", "inf", "0", strings.Repeat("9", 400), "0.01", "1, 2", "x"} {
+		n.instance.NameLimit(text)
+		time.Sleep(e.duration / 8)
+	}
+	n.instance.NameLimit("")
+	x.recordFault(-1, from, time.Now())
+}
+
+// leaveInAnswers makes the instance say in its responses only that it leaves, kills
+// the node beside it, and then replaces the instance.
+func (x *faultInjector) leaveInAnswers(e event, n *node) {
+	from := time.Now()
+	n.instance.SayLeaving()
+	time.Sleep(limitNotice)
+	x.inject(event{kind: "kill", node: e.node, duration: e.duration})
+	time.Sleep(drainTime + e.duration)
+	x.processMu[e.node].Lock()
+	defer x.processMu[e.node].Unlock()
+	n.instance.Deregister()
+	n.replaceInstance(fmt.Sprintf("i-%s-%d", n.name, time.Now().UnixMilli()))
+	x.recordFault(-1, from, time.Now())
+}
+
 func (x *faultInjector) changeConfig(e event) {
 	x.configMu.Lock()
 	defer x.configMu.Unlock()
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -97,13 +97,18 @@
 	faultRNG      *rand.Rand
 
 	mu              sync.Mutex
+	currentID       string // of the instance
 	instanceStarted time.Time
 	heartbeatSeq    int
 }
 
 func newFleet(t *testing.T, seed uint64, o options) *fleet {
-	services := make([]string, len(placements))
-	for i, p := range placements {
+	var places []placement
+	for range *copies {
+		places = append(places, placements...)
+	}
+	services := make([]string, len(places))
+	for i, p := range places {
 		services[i] = p.service
 	}
 	f := &fleet{
@@ -116,7 +121,7 @@
 	f.addKey("farm")
 	f.addKey("club")
 	f.writeNextConfig()
-	for i, p := range placements {
+	for i, p := range places {
 		f.nodes = append(f.nodes, f.newNode(i, p, seed))
 	}
 	return f
@@ -135,15 +140,16 @@
 
 func (f *fleet) newNode(index int, p placement, seed uint64) *node {
 	n := &node{
-		placement: p, f: f, index: index, name: fmt.Sprintf("%s-%s", p.service, p.domain), instanceStarted: time.Now(),
+		placement: p, f: f, index: index, name: fmt.Sprintf("%s-%s-%d", p.service, p.domain, index/len(placements)), instanceStarted: time.Now(),
 		faultRNG: rand.New(rand.NewPCG(seed, uint64(index)+1)),
 	}
+	n.currentID = "i-" + n.name
 	n.instance = &standin.Instance{
-		ID: "i-" + n.name, Service: p.service, Slots: slots, Work: f.options.serviceTime, Faults: n.drawFault,
-		OnArrival: f.history.recordArrival,
+		ID: n.currentID, Service: p.service, Slots: slots, Work: f.options.serviceTime, Faults: n.drawFault,
+		OnArrival: func(id, service string) { f.history.recordArrival(id, service, n.instanceID()) },
 		OnRun: func(r standin.Run) {
 			f.history.recordRun(run{
-				ID: r.ID, At: r.At, Node: index, Service: r.Service, Customer: r.Customer,
+				ID: r.ID, At: r.At, Node: index, Instance: n.instanceID(), Service: r.Service, Customer: r.Customer,
 				Origin: r.Origin, Key: r.Key,
 			})
 		},
@@ -226,11 +232,17 @@
 // replaceInstance starts a new instance at the address of the previous one.
 func (n *node) replaceInstance(id string) {
 	n.mu.Lock()
-	n.instanceStarted, n.heartbeatSeq = time.Now(), 0
+	n.currentID, n.instanceStarted, n.heartbeatSeq = id, time.Now(), 0
 	n.mu.Unlock()
 	n.instance.Replace(id)
 }
 
+func (n *node) instanceID() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.currentID
+}
+
 func (n *node) ready() bool {
 	client := http.Client{Timeout: time.Second}
 	resp, err := client.Get("http://" + n.healthAddr + "/-/ready")
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -63,12 +63,26 @@
 	ID       string
 	At       time.Time
 	Node     int
+	Instance string
 	Service  string
 	Customer string
 	Origin   string
 	Key      string
 }
 
+// arrival records that a request reached an instance, which may have rejected it.
+type arrival struct {
+	id string
+	at time.Time
+}
+
+// namedLimit records that an instance named a rate limit in its responses.
+type namedLimit struct {
+	instance  string
+	perSecond float64
+	interval
+}
+
 type interval struct{ from, to time.Time }
 
 func (s interval) overlaps(from, to time.Time) bool { return !s.to.Before(from) && !s.from.After(to) }
@@ -96,6 +110,8 @@
 	repeatArrivals map[string][]time.Time // service -> arrivals after the first of each request
 	firstArrivals  map[string][]time.Time // service -> first arrival of each request
 	seenIDs        map[string]bool
+	arrivals       map[string][]arrival // instance -> requests that arrived there
+	limits         []namedLimit
 	drains         []acknowledgedDrain
 	changes        []configChange
 	fleetFaults    []interval         // faults of the store, of links or of instances
@@ -109,7 +125,7 @@
 func newHistory(services []string) *history {
 	return &history{
 		sent: map[string]*sentRequest{}, repeatArrivals: map[string][]time.Time{}, firstArrivals: map[string][]time.Time{},
-		seenIDs:    map[string]bool{},
+		seenIDs: map[string]bool{}, arrivals: map[string][]arrival{},
 		nodeFaults: map[int][]interval{}, plannedStops: map[int][]interval{}, services: services,
 	}
 }
@@ -133,9 +149,10 @@
 	h.runs = append(h.runs, r)
 }
 
-func (h *history) recordArrival(id, service string) {
+func (h *history) recordArrival(id, service, instance string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.arrivals[instance] = append(h.arrivals[instance], arrival{id, time.Now()})
 	if h.seenIDs[id] {
 		h.repeatArrivals[service] = append(h.repeatArrivals[service], time.Now())
 	} else {
@@ -156,6 +173,10 @@
 //   - route: a run was at the service of its route
 //   - revoked: no run with a key withdrawn more than keyWithdrawal before
 //   - drain: a draining instance gets no new requests
+//   - limit: an instance gets no more requests than the rate limit that it names
+//     allows
+//   - leaving: an instance that says in its responses that it leaves gets no new
+//     requests from nodes that have passed on such a response
 //   - stop: a planned stop loses no response
 //   - config: a version takes effect and is replaced within configApply
 //   - back: a process does not go back to an older version
@@ -184,6 +205,8 @@
 		h.checkDrain(r, report)
 	}
 	h.checkConfigVersions(report)
+	h.checkLimits(report)
+	h.checkLeaving(report)
 	h.checkRate(report)
 	h.checkRetries(report)
 	return violations
--- a/soak/mechanisms_test.go
+++ b/soak/mechanisms_test.go
@@ -29,6 +29,9 @@
 			{kind: "rejects", node: 4, duration: 6 * time.Second}, {kind: "rejects", node: 1, duration: 6 * time.Second},
 			{kind: "rejects", node: 3, duration: 6 * time.Second}, {kind: "rejects", node: 5, duration: 6 * time.Second},
 		}},
+		{"no pacing at the owner", "limit", func(o *options) {
+			o.plugins = `["auth", "quarantine", "quota", "retry", "routing"]`
+		}, []event{{kind: "limit", node: 0, duration: 4 * time.Second}, {kind: "limit", node: 1, duration: 4 * time.Second}}},
 		{"withdrawn keys stay valid", "revoked", func(o *options) { o.keyWithdrawal = time.Hour }, []event{
 			cutStore(0), cutStore(1), cutStore(2), cutStore(3), cutStore(4), cutStore(5), {kind: "withdraw", start: time.Second},
 		}},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -14,6 +14,7 @@
 var (
 	seeds       = flag.Int("seeds", 2, "number of seeds that TestSoak runs")
 	firstSeed   = flag.Uint64("first", 2, "first seed of TestSoak")
+	copies      = flag.Int("copies", 1, "number of nodes at each place")
 	maxParallel = flag.Int("side", 2, "number of fleets that run in parallel")
 )
 
@@ -49,7 +50,7 @@
 				if slices.Contains(regressionSeeds, seed) {
 					kinds = originalKinds
 				}
-				events := drawSchedule(rand.New(rand.NewPCG(seed, 0)), kinds, faultCount, scheduleLength)
+				events := drawSchedule(rand.New(rand.NewPCG(seed, 0)), kinds, *copies*len(placements), *copies*faultCount, scheduleLength)
 				for name, violations := range runSchedule(t, seed, defaultOptions(), events) {
 					t.Errorf("check %s: %d violations, starting with:\n%s", name, len(violations), strings.Join(violations[:min(maxShownViolations, len(violations))], "\n"))
 				}
@@ -179,3 +180,26 @@
 		})
 	}
 }
+
+// Guards against an instance's word on itself, a rate limit or that it leaves, being lost
+// with the process of the node beside it.
+func TestSoakInstanceReports(t *testing.T) {
+	const start = time.Second
+	cases := map[string][]event{
+		"limit":    {{kind: "limit", node: 0, start: start, duration: maxFaultDuration}, {kind: "limit", node: 1, start: start, duration: maxFaultDuration}},
+		"restarts": {{kind: "limit-restarts", node: 0, start: start}, {kind: "limit-restarts", node: 1, start: start}},
+		"leaving": {
+			{kind: "leave-in-answers", node: 0, start: start, duration: maxFaultDuration},
+			{kind: "leave-in-answers", node: 1, start: start, duration: maxFaultDuration},
+			{kind: "store-down", start: start, duration: maxFaultDuration},
+		},
+	}
+	for name, events := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for check, violations := range runSchedule(t, 1, defaultOptions(), events) {
+				t.Errorf("check %s: %d violations, starting with:\n%s", check, len(violations), strings.Join(violations[:min(maxShownViolations, len(violations))], "\n"))
+			}
+		})
+	}
+}
