selfreport: a word on leaving ends by a later start only if the start wasn't known

Clocks may differ between the instance and the node: a heartbeat of the same known start must not count as another incarnation because its start lies ahead.

--- a/selfreport/tracker.go
+++ b/selfreport/tracker.go
@@ -56,7 +56,7 @@
 	defer t.mu.Unlock()
 	old := t.state.Load()
 	next := *old
-	if !i.Same(old.incarnation) || old.leaving && startedAfter(i, old.leavingAt) {
+	if !i.Same(old.incarnation) || old.leaving && startedLater(i, old.incarnation, old.leavingAt) {
 		next = trackerState{incarnation: i}
 	}
 	if i.StartedMS != 0 {
@@ -68,8 +68,11 @@
 	}
 }
 
-// startedAfter reports whether an incarnation is known to have started after a time.
-func startedAfter(i state.Incarnation, at time.Time) bool { return i.StartedMS > at.UnixMilli() }
+// startedLater reports whether next is another run than former, whose start isn't known
+// but was before the given time.
+func startedLater(next, former state.Incarnation, at time.Time) bool {
+	return former.StartedMS == 0 && next.StartedMS > at.UnixMilli()
+}
 
 // setLeaving records that the instance has said by the given time that it leaves.
 func (s *trackerState) setLeaving(leaving bool, at time.Time) {
@@ -119,7 +122,7 @@
 	}
 	next := *old
 	at := now.Add(-r.Age)
-	if !startedAfter(old.incarnation, at) {
+	if !startedLater(old.incarnation, r.Incarnation, at) {
 		next.setLeaving(r.Leaving, at)
 	}
 	if !old.heard && r.RateLimit > 0 && at.After(old.at) {
