selfreport: one response without the header doesn't end a rate limit

Found by going through which responses may set or end a limit: a response that the instance makes early, or one that crosses, may lack the header; the limit ended for a moment and all waiting calls started at once, up to the slots. A limit now ends 0.25 s after the last response that named it at the earliest. What peers tell counts like a response of its time, so that the flag for the first response goes.

The step 'one response lacks the header' of TestLatestResponseSetsAndEndsLimit failed before (0 instead of 30).

--- a/selfreport/doc.go
+++ b/selfreport/doc.go
@@ -5,13 +5,14 @@
 //
 // A Tracker belongs to the node beside the instance, which sees all of its
 // responses. The latest complete response of the present incarnation decides: it
-// sets the rate limit, changes it, or ends it by naming none. Responses are ordered
-// by when their heads arrived, since a long body may arrive after a response that
-// was sent later. Without responses the latest one holds on. That an instance shuts
-// down holds until another incarnation takes its place.
+// sets the rate limit, changes it, or ends it by naming none, the latter not within
+// endDelay of a response that has named one. Responses are ordered by when their heads
+// arrived, since a long body may arrive after a response that was sent later. Without
+// responses the latest one holds on. That an instance shuts down holds until another
+// incarnation takes its place.
 //
-// The tracker of a process that has seen no response yet adopts what other nodes
-// were told by an earlier process, the most recent report first.
+// What other nodes were told by an earlier process counts like a response of the time
+// at which the instance said so.
 //
 // # Limits
 //
--- a/selfreport/tracker.go
+++ b/selfreport/tracker.go
@@ -35,13 +35,15 @@
 	leaving     bool
 	// leavingAt is when the instance had said that it leaves, at the latest.
 	leavingAt time.Time
-	// heard is set once this process has seen a response of the incarnation.
-	heard bool
-	// at is when the response that set or ended the rate limit was sent, as far as
-	// is known.
+	// at is when the instance last named the rate limit or, without one, when it was
+	// first seen to name none; zero if it isn't known whether there is one.
 	at time.Time
 }
 
+// endDelay is how long after a response that names a rate limit others don't end it:
+// responses may cross, and some that an instance makes may lack the header.
+const endDelay = 250 * time.Millisecond
+
 // NewTracker returns a tracker of an instance that isn't known yet.
 func NewTracker() *Tracker {
 	t := &Tracker{}
@@ -81,10 +83,18 @@
 	}
 }
 
+// setRateLimit records that the instance named a rate limit, or none, at a time.
+func (s *trackerState) setRateLimit(limit float64, at time.Time) {
+	if at.Before(s.at) || limit == 0 && s.rateLimit > 0 && at.Sub(s.at) < endDelay {
+		return
+	}
+	s.rateLimit, s.at = limit, at
+}
+
 // Observe records a response to a request that was sent to the given incarnation.
 // It reports whether what is known has changed.
 func (t *Tracker) Observe(from state.Incarnation, r Response) bool {
-	if s := t.state.Load(); s.heard && s.rateLimit == 0 && r.RateLimit == 0 && s.leaving == r.Leaving && from.Same(s.incarnation) {
+	if s := t.state.Load(); !s.at.IsZero() && s.rateLimit == 0 && r.RateLimit == 0 && s.leaving == r.Leaving && from.Same(s.incarnation) {
 		return false
 	}
 	t.mu.Lock()
@@ -98,11 +108,9 @@
 		return false
 	}
 	next.setLeaving(r.Leaving, r.HeadAt)
-	invalid := r.RateLimitError != nil && r.RateLimit == 0
-	if !invalid && !(old.heard && r.HeadAt.Before(old.at)) {
-		next.rateLimit, next.at = r.RateLimit, r.HeadAt
+	if invalid := r.RateLimitError != nil && r.RateLimit == 0; !invalid {
+		next.setRateLimit(r.RateLimit, r.HeadAt)
 	}
-	next.heard = true
 	t.state.Store(&next)
 	return next.rateLimit != old.rateLimit || next.leaving != old.leaving
 }
@@ -111,7 +119,9 @@
 // reports whether what is known has changed.
 func (t *Tracker) Adopt(r kernel.InstanceReport, now time.Time) bool {
 	s := t.state.Load()
-	if !r.Incarnation.Same(s.incarnation) || (s.heard || r.RateLimit == 0) && (s.leaving || !r.Leaving) {
+	at := now.Add(-r.Age)
+	newLimit := r.RateLimit > 0 && at.After(s.at)
+	if newLeaving := r.Leaving && !s.leaving; !r.Incarnation.Same(s.incarnation) || !newLimit && !newLeaving {
 		return false
 	}
 	t.mu.Lock()
@@ -121,12 +131,11 @@
 		return false
 	}
 	next := *old
-	at := now.Add(-r.Age)
 	if !startedLater(old.incarnation, r.Incarnation, at) {
 		next.setLeaving(r.Leaving, at)
 	}
-	if !old.heard && r.RateLimit > 0 && at.After(old.at) {
-		next.rateLimit, next.at = min(max(r.RateLimit, MinRateLimit), MaxRateLimit), at
+	if r.RateLimit > 0 {
+		next.setRateLimit(min(max(r.RateLimit, MinRateLimit), MaxRateLimit), at)
 	}
 	t.state.Store(&next)
 	return next.rateLimit != old.rateLimit || next.leaving != old.leaving
--- a/selfreport/tracker_test.go
+++ b/selfreport/tracker_test.go
@@ -33,9 +33,11 @@
 		{"an earlier response without a limit arrives late", limited(5, 0), 50},
 		{"limit changed", limited(20, 30), 30},
 		{"a value that can't be read", Response{HeadAt: at(30), RateLimitError: ErrRateLimit}, 30},
-		{"limit ended", limited(40, 0), 0},
-		{"an earlier response with a limit arrives late", limited(35, 30), 0},
-		{"limit named again", limited(50, 20), 20},
+		{"one response lacks the header", limited(40, 0), 30},
+		{"named again", limited(50, 30), 30},
+		{"limit ended", limited(350, 0), 0},
+		{"an earlier response with a limit arrives late", limited(340, 30), 0},
+		{"limit named again", limited(360, 20), 20},
 	}
 	for _, s := range steps {
 		tr.Observe(first, s.r)
