graph: the level by the rate limit ends with the limit

Cause: one controller followed both scarce things, and a level learnt at 1.1 calls a second opens by half a rank a second.

The limit now has a level of its own, which begins at the top with the limit and ends with it; the lower one counts. TestLevelOpensWhenRateLimitEnds. TestLevelFollowsRateLimit let waiting calls run without end, so that slots filled up and bound as well; it ends them now, with the same bounds (50.0 a second at a limit of 50).

--- a/admission/graph/doc.go
+++ b/admission/graph/doc.go
@@ -15,8 +15,8 @@
 //
 // If the instance names a rate limit, calls start no faster than it allows (package
 // pace); what can't start in time is refused, and the load report shows the
-// instance as full. The level follows the slots or the rate limit, whichever is
-// scarcer.
+// instance as full. A second level follows the rate limit while
+// there is one; the lower of both counts.
 //
 // After a start, slots are kept free for runs that an earlier process may have
 // left, according to the load that the instance reports. An idempotent call
--- a/admission/graph/gate.go
+++ b/admission/graph/gate.go
@@ -85,8 +85,8 @@
 	lastRejection      time.Time // by the instance
 	withheldSlots      int       // slots not used because of recent rejections
 	offeredSlotSeconds float64   // demand since the last call of Demand
-	offeredCalls       int       // since the last call of Demand
-	paced              bool      // the rate limit has delayed a call since the last call of Demand
+	offeredCalls       int       // since the last call of RateDemand
+	paced              bool      // the rate limit has delayed a call since the last call of RateDemand
 	peakInFlight       int       // maximum since the last call of Demand
 	created            time.Time
 	orphans            int  // runs of an earlier process still in flight
@@ -180,46 +180,55 @@
 }
 
 // Demand is the work that an instance has been asked for since the last call of
-// Gate.Demand.
+// Gate.Demand or Gate.RateDemand.
 type Demand struct {
 	// Offered is the time in seconds that the instance needs for the calls offered:
 	// the slot-seconds that they have asked for divided by the number of slots, or
-	// their number divided by the rate limit, if that is more. Calls that arrived too
-	// late to meet their deadline are left out, since a lower level would save no work
-	// by refusing them.
+	// their number divided by the rate limit. Calls that arrived too late to meet
+	// their deadline are left out, since a lower level would save no work by refusing
+	// them.
 	Offered float64
 	// Backlog is the time that the instance needs for the waiting calls.
 	Backlog time.Duration
 	// Underused is set if less than underusedFraction of the slots were in use
-	// throughout and the rate limit has delayed no call.
+	// throughout, or the rate limit has delayed no call.
 	Underused bool
 }
 
-// Demand returns the demand since the last call of Demand.
+// Demand returns the demand for slots since the last call of Demand.
 func (g *Gate) Demand() Demand {
 	d := Demand{
 		Offered:   g.offeredSlotSeconds / float64(g.slots),
 		Backlog:   g.Backlog(),
-		Underused: len(g.queue) == 0 && !g.paced && float64(g.peakInFlight) < underusedFraction*float64(g.slots),
+		Underused: len(g.queue) == 0 && float64(g.peakInFlight) < underusedFraction*float64(g.slots),
 	}
+	g.offeredSlotSeconds, g.peakInFlight = 0, g.inFlight
+	return d
+}
+
+// RateDemand returns the demand for the rate limit since the last call of RateDemand.
+// It is zero without a limit.
+func (g *Gate) RateDemand() Demand {
+	var d Demand
 	if rate := g.pacer.Rate(); rate > 0 {
-		d.Offered = max(d.Offered, float64(g.offeredCalls)/rate)
+		d = Demand{Offered: float64(g.offeredCalls) / rate, Backlog: g.rateBacklog(), Underused: len(g.queue) == 0 && !g.paced}
 	}
-	g.offeredSlotSeconds, g.offeredCalls, g.paced, g.peakInFlight = 0, 0, false, g.inFlight
+	g.offeredCalls, g.paced = 0, false
 	return d
 }
 
-// Backlog returns the time that the instance needs for the waiting calls.
+// Backlog returns the time that the slots need for the waiting calls.
 func (g *Gate) Backlog() time.Duration {
 	var work time.Duration
 	for _, t := range g.queue {
 		work += g.runTimes[t.Route]
 	}
-	backlog := work / time.Duration(g.slots)
-	if rate := g.pacer.Rate(); rate > 0 {
-		backlog = max(backlog, time.Duration(float64(len(g.queue))/rate*float64(time.Second)))
-	}
-	return backlog
+	return work / time.Duration(g.slots)
+}
+
+// rateBacklog returns the time until the rate limit has allowed the waiting calls.
+func (g *Gate) rateBacklog() time.Duration {
+	return time.Duration(float64(len(g.queue)) / g.pacer.Rate() * float64(time.Second))
 }
 
 // Offer admits, queues or refuses a call. It returns false if the call is
--- a/admission/graph/paced_test.go
+++ b/admission/graph/paced_test.go
@@ -1,9 +1,13 @@
 package graph
 
 import (
+	"context"
+	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/gooseberryflow/gooseberryflow/kernel"
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
@@ -71,15 +75,21 @@
 	const limit, asked = 50.0, 150.0
 	g, level, now := newPacedGate(limit), NewLevel(start, 1), start
 	admitted, ticks := 0.0, 0
+	var offered []*Ticket
 	for credit := 0.0; now.Before(start.Add(20 * time.Second)); now = now.Add(simTick) {
 		for credit += asked * level.Value() * simTick.Seconds(); credit >= 1; credit-- {
-			c := newTestTicket("r", false, time.Second, now)
-			if g.Offer(now, c) && c.state == stateRunning {
-				g.Done(now, c, Completion{Succeeded: true})
+			if c := newTestTicket("r", false, time.Second, now); g.Offer(now, c) {
+				offered = append(offered, c)
 			}
 		}
 		g.dispatch(now)
-		level.Update(now, g.Demand())
+		offered = slices.DeleteFunc(offered, func(c *Ticket) bool {
+			if c.state == stateRunning {
+				g.Done(now, c, Completion{Succeeded: true})
+			}
+			return c.state != stateWaiting
+		})
+		level.Update(now, g.RateDemand())
 		if now.Sub(start) > 10*time.Second {
 			admitted += asked * level.Value()
 			ticks++
@@ -102,3 +112,43 @@
 		t.Errorf("level %.2f, want nearly 3: the third instance has 100 of 104 calls to run", got)
 	}
 }
+
+// Guards against an instance whose rate limit has ended staying nearly closed: the
+// level by the limit says nothing of the slots.
+func TestLevelOpensWhenRateLimitEnds(t *testing.T) {
+	limit, now := 2.0, start
+	snapshot := (&state.Snapshot{}).Index()
+	p := &Plugin{}
+	err := p.Provision(&kernel.Host{
+		Now: func() time.Time { return now }, Rand: func() uint64 { return 0 }, RateLimit: func() float64 { return limit },
+		Snapshot: func() *state.Snapshot { return snapshot }, Peers: noPeers{}, Log: slog.New(slog.DiscardHandler),
+		AnnounceFanout: func(state.Fanout) {},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tick := func() {
+		now = now.Add(kernel.TickInterval)
+		p.gate.Offer(now, newTestTicket("r", false, time.Second, now))
+		p.Tick(now)
+	}
+	for now.Before(start.Add(5 * time.Second)) {
+		tick()
+	}
+	if got := p.lowerLevel().Value(); got > 1 {
+		t.Errorf("level %.2f at ten times the limit", got)
+	}
+	limit = 0
+	tick()
+	if !p.lowerLevel().AdmitsAll() {
+		t.Errorf("level %.2f of %g after the limit has ended", p.lowerLevel().Value(), p.top)
+	}
+}
+
+type noPeers struct{}
+
+func (noPeers) Request(context.Context, state.Member, string, []byte) ([]byte, error) {
+	return nil, nil
+}
+
+func (noPeers) Handle(string, kernel.MessageHandler) {}
--- a/admission/graph/plugin.go
+++ b/admission/graph/plugin.go
@@ -63,7 +63,8 @@
 
 	mu         sync.Mutex // guards the fields below
 	gate       *Gate
-	level      *Level
+	level      *Level // by the slots
+	rateLevel  *Level // by the rate limit; nil without one
 	fanout     *FanoutEstimator
 	levelTable *levelTable
 	ticks      int
@@ -126,6 +127,7 @@
 	unanswered := p.gate.Unanswered(now)
 	demand := p.gate.Demand()
 	p.level.Update(now, demand)
+	p.updateRateLevel(now)
 	p.logLevel(now, demand)
 	if p.ticks%fanoutIntervalTicks == 0 {
 		p.fanout.Tick(now)
@@ -135,8 +137,8 @@
 	if p.gate.pacer.Rate() > 0 {
 		n.Capacity = p.gate.Capacity(now)
 	}
-	if !p.level.AdmitsAll() {
-		n.Level = int(p.level.Value() * 1000)
+	if level := p.lowerLevel(); !level.AdmitsAll() {
+		n.Level = int(level.Value() * 1000)
 	}
 	noticeDue := n.Level >= 0 && p.ticks%noticeInterval(len(s.Members)) == 0
 	if noticeDue {
@@ -160,6 +162,28 @@
 	}
 }
 
+// updateRateLevel adjusts the level by the rate limit. It begins at the top with each
+// limit and ends with it, so that the level by the slots holds at once. p.mu is held.
+func (p *Plugin) updateRateLevel(now time.Time) {
+	demand := p.gate.RateDemand()
+	switch {
+	case p.gate.pacer.Rate() == 0:
+		p.rateLevel = nil
+	case p.rateLevel == nil:
+		p.rateLevel = NewLevel(now, p.top)
+	default:
+		p.rateLevel.Update(now, demand)
+	}
+}
+
+// lowerLevel returns the level that admits fewer ranks. p.mu is held.
+func (p *Plugin) lowerLevel() *Level {
+	if p.rateLevel != nil && p.rateLevel.Value() < p.level.Value() {
+		return p.rateLevel
+	}
+	return p.level
+}
+
 // noticeInterval returns the number of ticks between two notices in a
 // deployment of the given number of nodes.
 func noticeInterval(nodes int) int {
@@ -216,6 +240,9 @@
 	}
 	p.top = float64(top)
 	p.level.SetTop(p.top)
+	if p.rateLevel != nil {
+		p.rateLevel.SetTop(p.top)
+	}
 }
 
 // restoreFanout restores the fan-out that was announced for the routes of this
@@ -323,7 +350,8 @@
 // logLevel logs when the level drops below top or returns to it, and every
 // levelLogInterval while it is below top. p.mu is held.
 func (p *Plugin) logLevel(now time.Time, d Demand) {
-	admitsAll, logged := p.level.AdmitsAll(), !p.levelLoggedAt.IsZero()
+	level := p.lowerLevel()
+	admitsAll, logged := level.AdmitsAll(), !p.levelLoggedAt.IsZero()
 	if admitsAll && !logged || !admitsAll && now.Sub(p.levelLoggedAt) < levelLogInterval {
 		return
 	}
@@ -335,7 +363,7 @@
 	if !p.gate.lastRejection.IsZero() {
 		rejectedAgo = now.Sub(p.gate.lastRejection).Milliseconds()
 	}
-	p.host.Log.Info("admission level", "open", admitsAll, "level", p.level.Value(), "top", p.top, "load", p.level.Load(),
+	p.host.Log.Info("admission level", "open", admitsAll, "level", level.Value(), "top", p.top, "load", level.Load(),
 		"backlog_ms", d.Backlog.Milliseconds(), "slots", p.gate.slots, "limit", p.gate.Limit(now), "rate_limit", p.gate.pacer.Rate(), "in_flight", p.gate.InFlight(),
 		"queued", p.gate.Queued(), "rejected_ago_ms", rejectedAgo)
 }
