--- a/routing/owner.go
+++ b/routing/owner.go
@@ -13,10 +13,8 @@
 	// defaultLimit is assumed for a member that has not reported its limit.
 	defaultLimit = 4
 	// reportHalfLife is the time in which the reported calls of other nodes decay
-	// by half. At an instance with a rate limit it is the time in which the instance
-	// takes one call from each node, if that is longer, up to maxReportHalfLife.
-	reportHalfLife    = time.Second
-	maxReportHalfLife = 5 * time.Second
+	// by half.
+	reportHalfLife = time.Second
 	// rejectShareGain is the weight of the latest call in the share of calls that
 	// the instance rejects, rejectShareHalfLife the time in which that share
 	// decays by half, and rejectPressureWeight the pressure that a share of one
@@ -35,7 +33,6 @@
 	memory *nodeMemory
 	member state.Member
 	self   bool
-	nodes  int // number of members that may send calls
 }
 
 // stats is what this node learns about a member from its calls. It is kept when
@@ -45,7 +42,6 @@
 	limit           atomic.Int64 // zero: no report yet
 	otherNodesCalls atomic.Int64 // calls of other nodes at the latest report
 	reportedAt      atomic.Int64 // Unix ms
-	halfLifeMS      atomic.Int64 // of the reported calls
 	drainUntil      atomic.Int64 // Unix ms
 
 	rejectShareBits      atomic.Uint64 // float bits of the moving share of rejected calls
@@ -71,16 +67,6 @@
 	o.otherNodesCalls.Store(max(otherNodesCalls, 0))
 	o.limit.Store(int64(l.Limit))
 	o.reportedAt.Store(now.UnixMilli())
-	o.halfLifeMS.Store(o.halfLife(l).Milliseconds())
-}
-
-// halfLife returns the time in which the reported calls decay by half.
-func (o *owner) halfLife(l *kernel.Load) time.Duration {
-	if l.Report == nil || l.Report.RateLimit <= 0 {
-		return reportHalfLife
-	}
-	perNode := time.Duration(min(float64(o.nodes)/l.Report.RateLimit, maxReportHalfLife.Seconds()) * float64(time.Second))
-	return max(perNode, reportHalfLife)
 }
 
 func (o *owner) markDraining(now time.Time) {
@@ -104,7 +90,7 @@
 	age := now.UnixMilli() - o.reportedAt.Load()
 	otherNodesCalls := float64(o.otherNodesCalls.Load())
 	if age > 0 {
-		otherNodesCalls *= math.Exp2(-float64(age) / float64(o.halfLifeMS.Load()))
+		otherNodesCalls *= math.Exp2(-float64(age) / float64(reportHalfLife.Milliseconds()))
 	}
 	return (own + otherNodesCalls) / float64(limit)
 }
--- a/routing/view.go
+++ b/routing/view.go
@@ -40,7 +40,7 @@
 }
 
 func (v *view) add(m state.Member, self state.Member, previous *view, memory *nodeMemory) {
-	o := &owner{stats: previousStats(previous, m), memory: memory, member: m, self: m.ID == self.ID, nodes: len(v.snapshot.Members)}
+	o := &owner{stats: previousStats(previous, m), memory: memory, member: m, self: m.ID == self.ID}
 	v.owners[m.ID] = o
 	g := v.groups[m.Service]
 	if g == nil {
