--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -27,6 +27,8 @@
 	partitions        = 8
 	// slots is the concurrency limit of each instance.
 	slots = 24
+	// ratePerCopy is a customer's rate for each node at a place.
+	ratePerCopy = 120
 )
 
 var daemonPath string
@@ -50,7 +52,7 @@
 }
 
 func defaultOptions() options {
-	return options{keyWithdrawal: keyWithdrawal, retryRatio: retryRatio, retrySlack: retrySlack, rate: 120, serviceTime: 4 * time.Millisecond}
+	return options{keyWithdrawal: keyWithdrawal, retryRatio: retryRatio, retrySlack: retrySlack, rate: ratePerCopy * *copies, serviceTime: 4 * time.Millisecond}
 }
 
 // fleet is a set of daemons with their instances, proxies and store.
