--- a/admission/graph/closedloop_test.go
+++ b/admission/graph/closedloop_test.go
@@ -31,6 +31,8 @@
 type service struct {
 	gates  []*Gate
 	levels []*Level
+	// rateLevels follow the rate limits, if limitInstances has set them.
+	rateLevels []*Level
 	// effectiveLevel is the mean level as the entry nodes know it.
 	effectiveLevel float64
 }
@@ -60,6 +62,25 @@
 	return s
 }
 
+// limitInstances makes each instance name a rate limit.
+func (s *service) limitInstances(now time.Time, perSecond float64) {
+	for _, g := range s.gates {
+		g.SetRateLimit(now, perSecond)
+		s.rateLevels = append(s.rateLevels, NewLevel(now, simRank+1))
+	}
+}
+
+// updateLevel updates the level of an instance and returns it.
+func (s *service) updateLevel(i int, now time.Time) float64 {
+	s.gates[i].dispatch(now)
+	s.levels[i].Update(now, s.gates[i].Demand())
+	if s.rateLevels == nil {
+		return s.levels[i].Value()
+	}
+	s.rateLevels[i].Update(now, s.gates[i].RateDemand())
+	return min(s.levels[i].Value(), s.rateLevels[i].Value())
+}
+
 func (l *treeSim) after(d time.Duration, do func()) {
 	heap.Push(&l.events, event{l.now.Add(d), func(time.Time) { do() }})
 }
@@ -145,9 +166,8 @@
 func (l *treeSim) tick() {
 	for _, s := range []*service{l.leaf, l.middle} {
 		sum := 0.0
-		for i, g := range s.gates {
-			s.levels[i].Update(l.now, g.Demand())
-			sum += s.levels[i].Value()
+		for i := range s.gates {
+			sum += s.updateLevel(i, l.now)
 		}
 		mean := sum / float64(len(s.gates))
 		l.after(simLevelDelay, func() { s.effectiveLevel = mean })
@@ -155,6 +175,15 @@
 	l.after(simTick, l.tick)
 }
 
+// run processes events until the simulation has lasted for a time.
+func (l *treeSim) run(length time.Duration) {
+	for end := start.Add(length); l.now.Before(end); {
+		e := heap.Pop(&l.events).(event)
+		l.now = e.at
+		e.do(e.at)
+	}
+}
+
 // Trees arrive at twice the capacity of the leaf. Each makes eight sequential
 // calls to the leaf through two calls to a middle service, and its timeout is
 // little more than these calls take. From the third second on the leaf must
@@ -171,11 +200,7 @@
 		}
 		l.tick()
 		l.arrive(2 * capacity)
-		for end := start.Add(length); l.now.Before(end); {
-			e := heap.Pop(&l.events).(event)
-			l.now = e.at
-			e.do(e.at)
-		}
+		l.run(length)
 		used := float64(l.completed) / (capacity * (length - warmup).Seconds())
 		failed := 1 - float64(l.completed)/float64(l.admitted)
 		t.Logf("seed %d: completed trees are %.2f of the leaf's capacity, %.2f of the admitted trees failed", seed, used, failed)
@@ -184,3 +209,29 @@
 		}
 	}
 }
+
+// All instances of the leaf name rate limits of two fifths of what their slots would
+// run, while trees arrive at twice what the limits allow. Begun trees go first, so that
+// the limits must be spent on trees that complete.
+func TestLimitedLeafCompletesWholeTrees(t *testing.T) {
+	for seed := range uint64(3) {
+		const length, warmup = 16 * time.Second, 6 * time.Second
+		perInstance := 0.4 * leafSlots / leafRun.Seconds()
+		capacity := leafInstances * perInstance / (middleCalls * leafCalls)
+		l := &treeSim{
+			rng: rand.New(rand.NewPCG(seed, 1)), now: start, warmup: start.Add(warmup),
+			leafRunTime: leafRun, leafCallsPerRun: leafCalls,
+			leaf: newService(leafInstances, leafSlots), middle: newService(middleInstances, middleSlots),
+		}
+		l.leaf.limitInstances(start, perInstance)
+		l.tick()
+		l.arrive(2 * capacity)
+		l.run(length)
+		used := float64(l.completed) / (capacity * (length - warmup).Seconds())
+		failed := 1 - float64(l.completed)/float64(l.admitted)
+		t.Logf("seed %d: completed trees are %.2f of what the limits allow, %.2f of the admitted trees failed", seed, used, failed)
+		if used < 0.75 || failed > 0.15 {
+			t.Errorf("seed %d: completed trees are %.2f of what the limits allow, %.2f of the admitted trees failed", seed, used, failed)
+		}
+	}
+}
