routing: a result that crosses doesn't undo that an instance leaves

Found by reading: the result of a call that was sent before the instance said that it leaves may arrive after one that says so, and replaced the entry node's memory. TestLeavingInstanceGetsNoCalls failed with the late result (the instance got a call).

--- a/routing/memory.go
+++ b/routing/memory.go
@@ -29,12 +29,14 @@
 // report ends a rate limit only if the instance has answered; that an instance leaves
 // holds for its incarnation.
 func (m *nodeMemory) record(r *kernel.Result, now time.Time) {
+	known := m.report.Load()
 	if r.Load != nil && r.Load.Report != nil {
 		report := *r.Load.Report
+		// The results of concurrent calls may cross.
+		report.Leaving = report.Leaving || known != nil && known.Leaving && known.Incarnation.Same(report.Incarnation)
 		m.report.Store(&knownReport{InstanceReport: report, at: now.Add(-report.Age)})
 		return
 	}
-	known := m.report.Load()
 	if known == nil || r.Outcome != kernel.OutcomeAnswered || known.RateLimit == 0 {
 		return
 	}
--- a/routing/memory_test.go
+++ b/routing/memory_test.go
@@ -76,6 +76,8 @@
 	b.setOnlyMember("1", "i1", 1)
 	b.answer = reporting(kernel.Refuse(kernel.ReasonDraining, "", 0), leaving)
 	b.sendCalls(t.Context(), 1)
+	late := kernel.InstanceReport{Incarnation: leaving.Incarnation, RateLimit: 20}
+	b.owner("n#1").memory.record(reporting(succeeded(), late)(state.Member{}), b.now)
 	for _, process := range []string{"1", "2"} {
 		b.setOnlyMember(process, "i1", 1)
 		for range 5 {
