--- a/routing/eject.go
+++ b/routing/eject.go
@@ -58,7 +58,6 @@
 // recordResult records the result of a call for which the member was claimed.
 func (g *group) recordResult(o *owner, r *kernel.Result, now time.Time, random uint64) {
 	o.outstanding.Add(-1)
-	o.memory.record(r, now)
 	if r.Load != nil {
 		o.recordLoad(r.Load, now)
 	}
--- a/routing/memory.go
+++ b/routing/memory.go
@@ -8,8 +8,8 @@
 	"github.com/gooseberryflow/gooseberryflow/state"
 )
 
-// memoryRetention is how long a report of an instance whose node is no longer a
-// member is kept.
+// memoryRetention is how long after a report the next process of its node is told of
+// it.
 const memoryRetention = 5 * time.Minute
 
 // knownReport is what an instance has said of itself and when.
@@ -20,7 +20,7 @@
 
 // nodeMemory is what this node was told of the instance beside another node. It
 // outlives the process of that node, whose successor may not have heard from the
-// instance yet.
+// instance yet. A nil memory holds nothing.
 type nodeMemory struct {
 	report atomic.Pointer[knownReport] // nil: nothing to tell
 }
@@ -49,9 +49,17 @@
 	m.report.Store(&leaving)
 }
 
+// load returns the report, or nil if there is nothing to tell.
+func (m *nodeMemory) load() *knownReport {
+	if m == nil {
+		return nil
+	}
+	return m.report.Load()
+}
+
 // tell returns the call with what is known of the owner's instance.
 func (m *nodeMemory) tell(c *kernel.Call, now time.Time) *kernel.Call {
-	known := m.report.Load()
+	known := m.load()
 	if known == nil {
 		return c
 	}
@@ -64,7 +72,7 @@
 
 // leaving reports whether the instance beside a member has said that it shuts down.
 func (m *nodeMemory) leaving(member state.Member) bool {
-	known := m.report.Load()
+	known := m.load()
 	if known == nil || !known.Leaving {
 		return false
 	}
@@ -74,11 +82,12 @@
 	return member.Instance.ID == "" || member.Instance.Same(known.Incarnation)
 }
 
-// memories holds the memory of each node by its name. It is not safe for concurrent
-// use.
+// memories holds the memories of nodes by name, for those whose instances have
+// reported. It is not safe for concurrent use.
 type memories map[string]*nodeMemory
 
-func (ms memories) of(id state.MemberID) *nodeMemory {
+// add returns the memory of a node, which is created if there is none.
+func (ms memories) add(id state.MemberID) *nodeMemory {
 	name := id.NodeName()
 	m := ms[name]
 	if m == nil {
@@ -88,16 +97,10 @@
 	return m
 }
 
-// expire removes the memories of nodes that are not members, unless they hold a
-// report within memoryRetention.
-func (ms memories) expire(members map[state.MemberID]state.Member, now time.Time) {
-	present := make(map[string]bool, len(members))
-	for id := range members {
-		present[id.NodeName()] = true
-	}
+// expire removes memories without a report within memoryRetention.
+func (ms memories) expire(now time.Time) {
 	for name, m := range ms {
-		known := m.report.Load()
-		if !present[name] && (known == nil || now.Sub(known.at) > memoryRetention) {
+		if known := m.load(); known == nil || now.Sub(known.at) > memoryRetention {
 			delete(ms, name)
 		}
 	}
--- a/routing/memory_test.go
+++ b/routing/memory_test.go
@@ -77,7 +77,7 @@
 	b.answer = reporting(kernel.Refuse(kernel.ReasonDraining, "", 0), leaving)
 	b.sendCalls(t.Context(), 1)
 	late := kernel.InstanceReport{Incarnation: leaving.Incarnation, RateLimit: 20}
-	b.owner("n#1").memory.record(reporting(succeeded(), late)(state.Member{}), b.now)
+	b.owner("n#1").memory.Load().record(reporting(succeeded(), late)(state.Member{}), b.now)
 	for _, process := range []string{"1", "2"} {
 		b.setOnlyMember(process, "i1", 1)
 		for range 5 {
--- a/routing/owner.go
+++ b/routing/owner.go
@@ -30,7 +30,6 @@
 // owner is a member and what this node knows about it.
 type owner struct {
 	*stats
-	memory *nodeMemory
 	member state.Member
 	self   bool
 }
@@ -43,6 +42,7 @@
 	otherNodesCalls atomic.Int64 // calls of other nodes at the latest report
 	reportedAt      atomic.Int64 // Unix ms
 	drainUntil      atomic.Int64 // Unix ms
+	memory          atomic.Pointer[nodeMemory]
 
 	rejectShareBits      atomic.Uint64 // float bits of the moving share of rejected calls
 	rejectShareUpdatedAt atomic.Int64  // Unix ms
@@ -99,7 +99,7 @@
 func (o *owner) hasReport() bool { return o.limit.Load() > 0 }
 
 func (o *owner) draining(now time.Time) bool {
-	return o.member.Draining || o.memory.leaving(o.member) || now.UnixMilli() < o.drainUntil.Load()
+	return o.member.Draining || o.memory.Load().leaving(o.member) || now.UnixMilli() < o.drainUntil.Load()
 }
 
 // selectable reports whether the member may be chosen: it isn't ejected, or its
--- a/routing/plugin.go
+++ b/routing/plugin.go
@@ -54,13 +54,29 @@
 		return noUpstream(c)
 	}
 	t.add(o.member.ID)
-	r := p.host.Forward(ctx, o.member, o.memory.tell(c, p.host.Now()))
+	r := p.host.Forward(ctx, o.member, o.memory.Load().tell(c, p.host.Now()))
 	r.Owner = o.member.ID
+	p.remember(o, r)
 	g.recordResult(o, r, p.host.Now(), p.host.Rand())
 	observe(ctx, c, r)
 	return r
 }
 
+// remember records what a result tells of the owner's instance.
+func (p *Plugin) remember(o *owner, r *kernel.Result) {
+	m := o.memory.Load()
+	if m == nil {
+		if r.Load == nil || r.Load.Report == nil {
+			return
+		}
+		p.mu.Lock()
+		m = p.known.add(o.member.ID)
+		p.mu.Unlock()
+		o.memory.Store(m)
+	}
+	m.record(r, p.host.Now())
+}
+
 func noUpstream(c *kernel.Call) *kernel.Result {
 	return kernel.Refuse(kernel.ReasonNoUpstream, "no instance of "+c.Service+" is available", 0)
 }
@@ -81,7 +97,7 @@
 	if v != nil && v.snapshot == s {
 		return v
 	}
-	p.known.expire(s.Members, p.host.Now())
+	p.known.expire(p.host.Now())
 	v = newView(s, p.host.Self, v, p.known)
 	p.view.Store(v)
 	return v
--- a/routing/view.go
+++ b/routing/view.go
@@ -33,14 +33,17 @@
 	}
 	for _, domain := range s.Domains() {
 		for _, m := range s.Domain(domain) {
-			v.add(m, self, previous, known.of(m.ID))
+			v.add(m, self, previous, known)
 		}
 	}
 	return v
 }
 
-func (v *view) add(m state.Member, self state.Member, previous *view, memory *nodeMemory) {
-	o := &owner{stats: previousStats(previous, m), memory: memory, member: m, self: m.ID == self.ID}
+func (v *view) add(m state.Member, self state.Member, previous *view, known memories) {
+	o := &owner{stats: previousStats(previous, m), member: m, self: m.ID == self.ID}
+	if len(known) > 0 && o.memory.Load() == nil {
+		o.memory.Store(known[m.ID.NodeName()])
+	}
 	v.owners[m.ID] = o
 	g := v.groups[m.Service]
 	if g == nil {
