graph: limited instances close a service only if all of them are limited

Cause: a limited instance is asked for more than it takes as long as routing spreads calls, and its closed level counted although what doesn't fit there goes elsewhere.

A service's level is now that of its members without a limit, as long as there are any: it falls when these are short themselves. If all are limited, each counts by what it takes, and a limited instance says so at the top level, too.

--- a/admission/graph/plugin.go
+++ b/admission/graph/plugin.go
@@ -140,7 +140,7 @@
 	if level := p.lowerLevel(); !level.AdmitsAll() {
 		n.Level = int(level.Value() * 1000)
 	}
-	noticeDue := n.Level >= 0 && p.ticks%noticeInterval(len(s.Members)) == 0
+	noticeDue := (n.Level >= 0 || n.Capacity > 0) && p.ticks%noticeInterval(len(s.Members)) == 0
 	if noticeDue {
 		p.levelTable.record(n, now)
 	}
--- a/admission/graph/table.go
+++ b/admission/graph/table.go
@@ -68,12 +68,14 @@
 
 // serviceLevel returns the mean level of a service's members, weighted by the calls
 // that their instances can run at once. Members without a valid level count as
-// admitting all ranks, that is, as top.
+// admitting all ranks, that is, as top. Members with a rate limit count only if all have
+// one: what doesn't fit there goes to the others as long as these have room.
 func (t *levelTable) serviceLevel(service string, members []state.Member, top float64, now time.Time) serviceLevel {
 	s := serviceLevel{instances: len(members)}
-	sum, total := 0.0, 0.0
+	var limited, others weightedMean
 	for _, member := range members {
 		level, weight := top, float64(cmp.Or(max(member.Slots, 0), defaultSlots))
+		mean := &others
 		if m := t.members[member.ID]; m != nil && m.service == service && now.Sub(m.receivedAt) <= levelTTL {
 			s.reported++
 			s.oldestAge = max(s.oldestAge, now.Sub(m.receivedAt))
@@ -81,20 +83,32 @@
 				level = m.level
 			}
 			if m.capacity > 0 {
-				weight = float64(m.capacity)
+				weight, mean = float64(m.capacity), &limited
 			}
 		}
-		sum += weight * level
-		total += weight
+		mean.add(level, weight)
 	}
 	if s.reported == 0 {
 		s.level = top
 		return s
 	}
-	s.level = sum / total
+	s.level = limited.value()
+	if others.weight > 0 {
+		s.level = others.value()
+	}
 	return s
 }
 
+// weightedMean accumulates a weighted mean.
+type weightedMean struct{ sum, weight float64 }
+
+func (m *weightedMean) add(value, weight float64) {
+	m.sum += value * weight
+	m.weight += weight
+}
+
+func (m *weightedMean) value() float64 { return m.sum / m.weight }
+
 // expire removes members that no longer send notices.
 func (t *levelTable) expire(now time.Time) {
 	for id, m := range t.members {
