--- a/admission/graph/doc.go
+++ b/admission/graph/doc.go
@@ -43,7 +43,9 @@
 //
 // For a new tree the entry node walks the fan-out from the request's route. It
 // refuses the request, not run, if the request's rank is at or above the level
-// of any service in that tree. The rank is the route's or customer's priority
+// of any service in that tree. The level of a service is the mean of its members';
+// those with a rate limit count only if all members have one, since what doesn't fit
+// there goes to the others. The rank is the route's or customer's priority
 // plus a random part below one, so requests of equal priority are shed in
 // proportion. Nested calls are not refused at the entry.
 //
