--- a/config/config.go
+++ b/config/config.go
@@ -62,6 +62,21 @@
 	Limits             Limits
 	// HealthPaths maps each service to the path of its health check.
 	HealthPaths map[string]string
+	// ColdStarts holds the services whose instances are cold after a start.
+	ColdStarts map[string]ColdStart
+	// Warnings lists the parts of the document that were not understood and how they
+	// are treated.
+	Warnings []string
+}
+
+// ColdStart describes the instances of a service that are slow after a start, for
+// example until their caches are filled.
+type ColdStart struct {
+	// Duration is how long an instance is cold after its start.
+	Duration time.Duration
+	// Rate is the number of requests per second that a cold instance bears from all
+	// nodes together.
+	Rate float64
 }
 
 // Customer is a tenant and its fleet-wide rate limit.
@@ -71,6 +86,9 @@
 	Rate float64
 	// Burst is the size of the token bucket in requests over all instances.
 	Burst float64
+	// Regions lists the regions in which the customer's requests may be processed;
+	// empty: all.
+	Regions []string
 }
 
 // Key is a caller's credential. It holds a hash of the secret, never the secret.
--- a/config/hosts.go
+++ b/config/hosts.go
@@ -32,6 +32,8 @@
 	// Rank orders routes by importance; a smaller value is more important.
 	// Priority is Rank clamped to the range of the Priority constants.
 	Rank int
+	// Regions lists the regions in which requests may be processed; empty: all.
+	Regions []string
 }
 
 // Limits bounds the size and duration of callers' requests to a node. All fields
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -250,6 +250,9 @@
 	})
 	d.options.Log.Info("configuration in force", "version", version, "from", from,
 		"customers", len(c.Customers), "routes", len(c.Hosts.Routes()))
+	if n := len(c.Warnings); n > 0 {
+		d.options.Log.Warn("configuration partly not understood", "version", version, "parts", n, "first", c.Warnings[0])
+	}
 	return true
 }
 
--- a/kernel/call.go
+++ b/kernel/call.go
@@ -136,7 +136,15 @@
 
 // InstanceLoad is the load reported by an instance itself. It may be outdated or
 // wrong.
-type InstanceLoad struct{ Running, Waiting int }
+type InstanceLoad struct {
+	Running, Waiting int
+	// Slots is the number of requests that the instance runs at once; zero if it
+	// wasn't reported.
+	Slots int
+	// WorkTime is how long work takes at the moment relative to the usual time; zero
+	// if it wasn't reported.
+	WorkTime float64
+}
 
 // ErrInstanceUnresponsive is the cause with which a call's context is cancelled
 // once the instance is known not to respond.
