--- /dev/null
+++ b/coldstart/tracker.go
@@ -0,0 +1,190 @@
+package coldstart
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/config"
+	"github.com/gooseberryflow/gooseberryflow/state"
+)
+
+const (
+	// rampDoubling is the time in which the rate doubles after the cold time, rampTime
+	// the time after which there is no limit.
+	rampDoubling = 100 * time.Millisecond
+	rampTime     = time.Second
+	// maxRemaining bounds the cold time that an instance may name.
+	maxRemaining = 10 * time.Minute
+)
+
+// Phase is what is known about the instance.
+type Phase uint8
+
+// The phases of an instance.
+const (
+	// PhaseWarm is also that of instances whose service has no cold state.
+	PhaseWarm Phase = iota
+	PhaseUnknown
+	PhaseCold
+	// PhaseRamp is the time after the cold time in which the rate rises.
+	PhaseRamp
+)
+
+// String returns the name used in logs and metrics.
+func (p Phase) String() string {
+	switch p {
+	case PhaseUnknown:
+		return "unknown"
+	case PhaseCold:
+		return "cold"
+	case PhaseRamp:
+		return "ramp"
+	}
+	return "warm"
+}
+
+// Tracker tracks one instance. It is safe for concurrent use.
+type Tracker struct {
+	mu          sync.Mutex
+	policy      config.ColdStart
+	incarnation state.Incarnation
+	// unknownSince is when the instance became unknown; zero if it is known.
+	unknownSince time.Time
+	// checkWantedSince is when a health check became wanted; zero if none is.
+	checkWantedSince time.Time
+	// coldUntil is the end of the cold time; zero if none is known.
+	coldUntil time.Time
+}
+
+// New returns the tracker of an instance about which nothing is known.
+func New(now time.Time) *Tracker { return &Tracker{unknownSince: now, checkWantedSince: now} }
+
+// SetPolicy sets the cold start of the instance's service; the zero value ends all
+// limits.
+func (t *Tracker) SetPolicy(p config.ColdStart) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.policy = p
+}
+
+// SetInstance sets the incarnation of the instance. Another one than before is unknown.
+func (t *Tracker) SetInstance(now time.Time, i state.Incarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.setInstance(now, i)
+}
+
+func (t *Tracker) setInstance(now time.Time, i state.Incarnation) {
+	if i.ID == "" {
+		return
+	}
+	if !i.Same(t.incarnation) {
+		t.incarnation, t.coldUntil = i, time.Time{}
+		t.setUnknown(now)
+	}
+	if i.StartedMS != 0 {
+		t.incarnation = i
+	}
+}
+
+// SetUnknown makes the instance unknown until the next health check.
+func (t *Tracker) SetUnknown(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.setUnknown(now)
+}
+
+func (t *Tracker) setUnknown(now time.Time) { t.unknownSince, t.checkWantedSince = now, now }
+
+// RequestCheck asks for a health check without a limit until then. It is for signs
+// of a restart that often have other causes.
+func (t *Tracker) RequestCheck(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.checkWantedSince.IsZero() {
+		t.checkWantedSince = now
+	}
+}
+
+// Heartbeat records the remaining cold time in a heartbeat of the given incarnation.
+func (t *Tracker) Heartbeat(now time.Time, i state.Incarnation, remaining time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.setInstance(now, i)
+	if until := now.Add(clamp(remaining)); remaining > 0 && until.After(t.coldUntil) {
+		t.coldUntil = until
+	}
+}
+
+// HealthCheck records the remaining cold time in the response to a health check that
+// was sent at the given time. What became unknown later stays so.
+func (t *Tracker) HealthCheck(now, sent time.Time, remaining time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.checkWantedSince.After(sent) {
+		return
+	}
+	t.unknownSince, t.checkWantedSince = time.Time{}, time.Time{}
+	if remaining > 0 {
+		t.coldUntil = now.Add(clamp(remaining))
+	} else if t.coldUntil.After(now) {
+		t.coldUntil = now
+	}
+}
+
+func clamp(remaining time.Duration) time.Duration { return min(remaining, maxRemaining) }
+
+// NeedsCheck reports whether a health check is wanted. An instance that hasn't answered
+// one within the cold time of its service is left alone.
+func (t *Tracker) NeedsCheck(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.policy.Rate > 0 && !t.checkWantedSince.IsZero() && now.Sub(t.checkWantedSince) <= t.policy.Duration
+}
+
+// Rate returns the calls per second that the instance bears now; zero means that there
+// is no limit.
+func (t *Tracker) Rate(now time.Time) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	phase, since := t.phase(now)
+	switch phase {
+	case PhaseWarm:
+		return 0
+	case PhaseRamp:
+		return t.policy.Rate * math.Exp2(now.Sub(since).Seconds()/rampDoubling.Seconds())
+	}
+	return t.policy.Rate
+}
+
+// Phase returns the phase of the instance.
+func (t *Tracker) Phase(now time.Time) Phase {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	phase, _ := t.phase(now)
+	return phase
+}
+
+// phase returns the phase and, for PhaseRamp, its start. t.mu is held.
+func (t *Tracker) phase(now time.Time) (Phase, time.Time) {
+	if t.policy.Rate <= 0 {
+		return PhaseWarm, time.Time{}
+	}
+	coldUntil := t.coldUntil
+	if !t.unknownSince.IsZero() {
+		if end := t.unknownSince.Add(t.policy.Duration); end.After(coldUntil) {
+			coldUntil = end
+			if now.Before(end) {
+				return PhaseUnknown, time.Time{}
+			}
+		}
+	}
+	switch {
+	case now.Before(coldUntil):
+		return PhaseCold, time.Time{}
+	case !coldUntil.IsZero() && now.Sub(coldUntil) < rampTime:
+		return PhaseRamp, coldUntil
+	}
+	return PhaseWarm, time.Time{}
+}
