--- a/admission/graph/level.go
+++ b/admission/graph/level.go
@@ -74,6 +74,18 @@
 	l.value = min(max(l.value, lowest, 0), highest, l.top)
 }
 
+// Anticipate lowers the level at once for load that is about to grow by a factor, as
+// far as the latest load calls for.
+func (l *Level) Anticipate(now time.Time, growth float64) {
+	surplus := min(l.load*growth, maxLoad) - max(targetLoad, l.load)
+	if surplus <= 0 {
+		return
+	}
+	l.value = max(l.value-surplus/loadPerRank, 0)
+	// The levels before the change no longer bound the next ones from above.
+	l.recent = []levelSample{{now, l.value, min(l.load*growth, maxLoad)}}
+}
+
 // limits returns the range in which the level may move now and records a
 // sample.
 func (l *Level) limits(now time.Time, load float64) (lowest, highest float64) {
--- a/admission/graph/plugin.go
+++ b/admission/graph/plugin.go
@@ -81,7 +81,9 @@
 	services      map[string]string // route -> service
 	// snapshot is the snapshot last applied; reachableServices holds the services
 	// that the trees of each route reach.
-	snapshot          *state.Snapshot
+	snapshot *state.Snapshot
+	// evacuations are those of the snapshot last applied.
+	evacuations       map[string]state.Evacuation
 	reachableServices map[string][]string
 	// serviceLevels caches the level of each service for one tick.
 	serviceLevels map[string]serviceLevel
@@ -224,6 +226,33 @@
 		p.applyConfig(s)
 	}
 	p.restoreFanout(s)
+	p.anticipateEvacuation(s)
+}
+
+// anticipateEvacuation lowers the level for the load that this instance takes over when
+// other failure domains are evacuated, before that load arrives. p.mu is held.
+func (p *Plugin) anticipateEvacuation(s *state.Snapshot) {
+	available := 0
+	for _, m := range s.AvailableMembers(p.host.Self.Service) {
+		available += max(m.Slots, 0)
+	}
+	evacuations, before := s.Evacuations, p.evacuations
+	p.evacuations = evacuations
+	if len(evacuations) == 0 || available == 0 || s.Evacuated(p.host.Self.Domain) {
+		return
+	}
+	taken := 0
+	for _, m := range s.Service(p.host.Self.Service) {
+		if _, known := before[m.Domain]; !known && s.Evacuated(m.Domain) {
+			taken += max(m.Slots, 0)
+		}
+	}
+	if taken == 0 {
+		return
+	}
+	growth := 1 + float64(taken)/float64(available)
+	p.level.Anticipate(p.host.Now(), growth)
+	p.host.Log.Info("load of evacuated failure domains expected", "growth", growth, "level", p.level.Value(), "load", p.level.Load())
 }
 
 // applyConfig reads services and ranks from the routes of a new configuration.
@@ -342,7 +371,7 @@
 	if current, ok := p.serviceLevels[service]; ok {
 		return current
 	}
-	current := p.levelTable.serviceLevel(service, s.Service(service), p.top, now)
+	current := p.levelTable.serviceLevel(service, s.AvailableMembers(service), p.top, now)
 	p.serviceLevels[service] = current
 	return current
 }
--- a/coldstart/tracker.go
+++ b/coldstart/tracker.go
@@ -47,7 +47,6 @@
 // Tracker tracks one instance. It is safe for concurrent use.
 type Tracker struct {
 	mu          sync.Mutex
-	policy      config.ColdStart
 	incarnation state.Incarnation
 	// unknownSince is when the instance became unknown; zero if it is known.
 	unknownSince time.Time
@@ -60,15 +59,7 @@
 // New returns the tracker of an instance about which nothing is known.
 func New(now time.Time) *Tracker { return &Tracker{unknownSince: now, checkWantedSince: now} }
 
-// SetPolicy sets the cold start of the instance's service; the zero value ends all
-// limits.
-func (t *Tracker) SetPolicy(p config.ColdStart) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.policy = p
-}
-
-// SetInstance sets the incarnation of the instance. Another one than before is unknown.
+// SetInstance sets the incarnation of the instance; another one than before is unknown.
 func (t *Tracker) SetInstance(now time.Time, i state.Incarnation) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -117,14 +108,15 @@
 	}
 }
 
-// HealthCheck records the remaining cold time in the response to a health check that
-// was sent at the given time. What became unknown later stays so.
-func (t *Tracker) HealthCheck(now, sent time.Time, remaining time.Duration) {
+// HealthCheck records the remaining cold time in the response of an incarnation to a
+// health check that was sent at the given time. What became unknown later stays so.
+func (t *Tracker) HealthCheck(now, sent time.Time, i state.Incarnation, remaining time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.checkWantedSince.After(sent) {
+	if i.ID == "" || t.checkWantedSince.After(sent) {
 		return
 	}
+	t.setInstance(now, i)
 	t.unknownSince, t.checkWantedSince = time.Time{}, time.Time{}
 	if remaining > 0 {
 		t.coldUntil = now.Add(clamp(remaining))
@@ -137,54 +129,38 @@
 
 // NeedsCheck reports whether a health check is wanted. An instance that hasn't answered
 // one within the cold time of its service is left alone.
-func (t *Tracker) NeedsCheck(now time.Time) bool {
+func (t *Tracker) NeedsCheck(now time.Time, p config.ColdStart) bool {
+	if p.Rate <= 0 {
+		return false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.policy.Rate > 0 && !t.checkWantedSince.IsZero() && now.Sub(t.checkWantedSince) <= t.policy.Duration
+	return !t.checkWantedSince.IsZero() && now.Sub(t.checkWantedSince) <= p.Duration
 }
 
-// Rate returns the calls per second that the instance bears now; zero means that there
-// is no limit.
-func (t *Tracker) Rate(now time.Time) float64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	phase, since := t.phase(now)
-	switch phase {
-	case PhaseWarm:
-		return 0
-	case PhaseRamp:
-		return t.policy.Rate * math.Exp2(now.Sub(since).Seconds()/rampDoubling.Seconds())
+// Rate returns the phase of the instance and the calls per second that it bears; zero
+// means that there is no limit.
+func (t *Tracker) Rate(now time.Time, p config.ColdStart) (Phase, float64) {
+	if p.Rate <= 0 {
+		return PhaseWarm, 0
 	}
-	return t.policy.Rate
-}
-
-// Phase returns the phase of the instance.
-func (t *Tracker) Phase(now time.Time) Phase {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	phase, _ := t.phase(now)
-	return phase
-}
-
-// phase returns the phase and, for PhaseRamp, its start. t.mu is held.
-func (t *Tracker) phase(now time.Time) (Phase, time.Time) {
-	if t.policy.Rate <= 0 {
-		return PhaseWarm, time.Time{}
-	}
-	coldUntil := t.coldUntil
+	end := t.coldUntil
 	if !t.unknownSince.IsZero() {
-		if end := t.unknownSince.Add(t.policy.Duration); end.After(coldUntil) {
-			coldUntil = end
+		if unknownUntil := t.unknownSince.Add(p.Duration); unknownUntil.After(end) {
+			end = unknownUntil
 			if now.Before(end) {
-				return PhaseUnknown, time.Time{}
+				return PhaseUnknown, p.Rate
 			}
 		}
 	}
+	sinceEnd := now.Sub(end)
 	switch {
-	case now.Before(coldUntil):
-		return PhaseCold, time.Time{}
-	case !coldUntil.IsZero() && now.Sub(coldUntil) < rampTime:
-		return PhaseRamp, coldUntil
+	case sinceEnd < 0:
+		return PhaseCold, p.Rate
+	case !end.IsZero() && sinceEnd < rampTime:
+		return PhaseRamp, p.Rate * math.Exp2(sinceEnd.Seconds()/rampDoubling.Seconds())
 	}
-	return PhaseWarm, time.Time{}
+	return PhaseWarm, 0
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -112,6 +112,7 @@
 	ownWrittenIncarnation uint64       // the store's incarnation when own was written
 	writeSignal           chan struct{}
 	incarnationState
+	evacuations evacuations
 
 	// membersLoaded is closed once the members have been read.
 	membersLoaded     chan struct{}
@@ -200,6 +201,7 @@
 	for old := d.configOffset.Load(); page.End > old && !d.configOffset.CompareAndSwap(old, page.End); {
 		old = d.configOffset.Load()
 	}
+	d.applyEvacuations(page, whole)
 	upToDate := true
 	for _, i := range page.Items {
 		if i.Key == d.options.Topics.ConfigKey && len(i.Value) > 0 {
--- a/directory/peers.go
+++ b/directory/peers.go
@@ -42,6 +42,10 @@
 	// Complete is set if Records holds all records.
 	Incarnation uint64 `cbor:"7,keyasint,omitempty"`
 	Complete    bool   `cbor:"8,keyasint,omitempty"`
+	// Evacuations holds the evacuated failure domains as of EvacuationsAt; a position
+	// of zero means that the peer knows of none.
+	Evacuations   map[string]state.Evacuation `cbor:"9,keyasint,omitempty"`
+	EvacuationsAt topicPosition               `cbor:"10,keyasint,omitzero"`
 }
 
 // refreshFromPeers requests the state from random nodes of any failure domain
@@ -107,6 +111,7 @@
 // applyResponse applies the state received from a peer. It reports whether the
 // peer confirms the configuration in force here.
 func (d *Directory) applyResponse(resp stateResponse, sent boottime.Instant) bool {
+	d.adoptEvacuations(resp)
 	if len(resp.Document) > 0 {
 		d.applyDocument(resp.Document, "peer")
 	}
@@ -182,6 +187,7 @@
 	if resp.Version > req.Version {
 		resp.Document = d.document
 	}
+	resp.Evacuations, resp.EvacuationsAt = d.evacuations.known, d.evacuations.at
 	resp.Records = map[string]storedRecord{}
 	resp.MembersOffset, resp.Incarnation = d.membersOffset, d.membersIncarnation
 	from := req.MembersOffset
--- a/directory/pull.go
+++ b/directory/pull.go
@@ -41,6 +41,7 @@
 		d.observeIncarnation(d.options.Store.Incarnation(), "store")
 		d.mu.Unlock()
 		d.prune()
+		d.expireEvacuations()
 		reads := !d.pullFromPeers(ctx)
 		if d.isReader.Swap(reads) != reads {
 			d.options.Log.Info("reader of the store for the failure domain changed", "self", reads,
--- a/directory/store.go
+++ b/directory/store.go
@@ -47,9 +47,12 @@
 	Put(ctx context.Context, topic, key string, value []byte) error
 }
 
-// Topics names the topics of the store and the key of the configuration.
+// Topics names the topics of the store and the keys of the topic Config: ConfigKey is
+// that of the configuration, EvacuationPrefix followed by the name of a failure domain
+// that of its evacuation. Without a prefix there are no evacuations.
 type Topics struct {
-	Config    string
-	ConfigKey string
-	Members   string
+	Config           string
+	ConfigKey        string
+	EvacuationPrefix string
+	Members          string
 }
--- a/kernel/call.go
+++ b/kernel/call.go
@@ -194,6 +194,7 @@
 	ReasonInternal            Reason = "internal"
 	ReasonKeyMissing          Reason = "idempotency-key-missing"
 	ReasonResendBudget        Reason = "resend-budget"
+	ReasonEvacuated           Reason = "evacuated"
 )
 
 var reasonStatus = map[Reason]int{
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -51,7 +51,7 @@
 
 func retryableReason(reason kernel.Reason) bool {
 	switch reason {
-	case kernel.ReasonOverload, kernel.ReasonDraining, kernel.ReasonNoUpstream, kernel.ReasonNotReady:
+	case kernel.ReasonOverload, kernel.ReasonDraining, kernel.ReasonNoUpstream, kernel.ReasonNotReady, kernel.ReasonEvacuated:
 		return true
 	}
 	return false
--- a/routing/view.go
+++ b/routing/view.go
@@ -45,6 +45,9 @@
 		o.memory.Store(known[m.ID.NodeName()])
 	}
 	v.owners[m.ID] = o
+	if v.snapshot.Evacuated(m.Domain) {
+		return
+	}
 	g := v.groups[m.Service]
 	if g == nil {
 		g = &group{}
--- a/sidecar/instance.go
+++ b/sidecar/instance.go
@@ -33,6 +33,7 @@
 func (n *Node) SetInstance(i Instance) {
 	n.instanceMu.Lock()
 	defer n.instanceMu.Unlock()
+	n.coldStart.SetInstance(n.host.Now(), i.Incarnation())
 	n.selfReport.SetInstance(i.Incarnation(), i.ID != "" && (i.Draining || !i.Present), n.host.Now())
 	i.Draining = i.Draining || n.selfReport.Leaving()
 	n.replaceInstance(i)
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/gooseberryflow/gooseberryflow/coldstart"
 	"github.com/gooseberryflow/gooseberryflow/kernel"
 )
 
@@ -58,6 +59,9 @@
 	gauge("members", func() any { return len(n.Snapshot().Members) })
 	gauge("in_flight", func() any { return n.inFlight.Load() })
 	gauge("instance_rate_limit", func() any { return n.selfReport.RateLimit() })
+	gauge("instance_cold_phase", func() any { return coldstart.Phase(n.coldPhase.Load()).String() })
+	gauge("evacuated_domains", func() any { return len(n.Snapshot().Evacuations) })
+	gauge("instance_evacuated", func() any { return n.Snapshot().Evacuated(n.settings.Domain) })
 	gauge("instance_leaving", func() any { return n.selfReport.Leaving() })
 	gauge("node_bytes_sent_total", func() any { return n.network.CallTraffic.BytesSent.Load() })
 	gauge("node_bytes_received_total", func() any { return n.network.CallTraffic.BytesReceived.Load() })
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gooseberryflow/gooseberryflow/coldstart"
 	"github.com/gooseberryflow/gooseberryflow/directory"
 	"github.com/gooseberryflow/gooseberryflow/internal/wait"
 	"github.com/gooseberryflow/gooseberryflow/kernel"
@@ -57,6 +58,9 @@
 	// OnPreviousInstance is called with the instance that was beside an earlier
 	// process of this node.
 	OnPreviousInstance func(directory.Instance)
+	// OnHealthCheckWanted is called when a health check of the instance is wanted; it
+	// must not block. It may be nil.
+	OnHealthCheckWanted func()
 }
 
 // Limits are the settings that can change while the node runs.
@@ -86,6 +90,9 @@
 	instanceMu       sync.Mutex // held while instance is replaced
 	instance         atomic.Pointer[Instance]
 	selfReport       *selfreport.Tracker
+	coldStart        *coldstart.Tracker
+	coldPhase        atomic.Uint32 // coldstart.Phase logged last
+	wasEvacuated     atomic.Bool   // the failure domain, at the latest tick
 	reportLog        *selfreport.Log
 	cancelBackground context.CancelFunc
 	background       sync.WaitGroup
@@ -106,7 +113,8 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{settings: s, network: network, log: log, metrics: newMetrics(), selfReport: selfreport.NewTracker(), reportLog: selfreport.NewLog(log)}
+	n := &Node{settings: s, network: network, log: log, metrics: newMetrics(), selfReport: selfreport.NewTracker(), reportLog: selfreport.NewLog(log),
+		coldStart: coldstart.New(time.Now())}
 	n.instance.Store(&Instance{})
 	n.SetLimits(s.Limits)
 	n.directory = directory.New(directory.Options{
@@ -123,7 +131,7 @@
 		MaxKeyAge: func() time.Duration { return n.limits.Load().MaxKeyAge },
 		// The platform restarts nodes while their instances keep running.
 		InstancesOutliveNodes: true,
-		RateLimit:             n.selfReport.RateLimit,
+		RateLimit:             n.instanceRateLimit,
 		Retries:               s.Retries,
 		Pools:                 s.Pools,
 		AnnounceAssignment:    n.announceAssignment,
@@ -166,6 +174,7 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
+			n.followColdStart(n.host.Now())
 			n.plugins.Tick(n.host.Now())
 		}
 	}
@@ -319,6 +328,8 @@
 		return kernel.Refuse(kernel.ReasonNoUpstream, "the node is not beside an instance of "+c.Service, 0)
 	case !i.Present:
 		return kernel.Refuse(kernel.ReasonNoUpstream, "no instance is beside the node", 0)
+	case n.Snapshot().Evacuated(n.settings.Domain):
+		return kernel.Refuse(kernel.ReasonEvacuated, "the failure domain is evacuated", 0)
 	case i.Draining || n.stopping.Load():
 		r := kernel.Refuse(kernel.ReasonDraining, "the instance is leaving", 0)
 		r.Load = &kernel.Load{Draining: true}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -41,6 +41,9 @@
 	// Fanout is the mean of the nodes' measurements. It holds the calls that at
 	// least half of the nodes with measurements of the route have found.
 	Fanout Fanout
+	// Evacuations holds the failure domains to whose instances nothing may be sent. The
+	// map is never changed.
+	Evacuations map[string]Evacuation
 
 	byDomain  map[string][]Member
 	byService map[string][]Member
@@ -48,6 +51,13 @@
 	customers map[string]config.Customer
 }
 
+// Evacuation is the operators' request that nothing is sent to the instances of a
+// failure domain, with the position of its record in the store.
+type Evacuation struct {
+	Offset      uint64 `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint,omitempty"`
+}
+
 // Fanout maps a route to the nested calls that one run of it makes: for each
 // called route, the number of calls in thousandths.
 type Fanout map[string]map[string]int
@@ -90,6 +100,28 @@
 // Service returns the members of a service ordered by ID.
 func (s *Snapshot) Service(name string) []Member { return s.byService[name] }
 
+// Evacuated reports whether nothing may be sent to the instances of a failure domain.
+func (s *Snapshot) Evacuated(domain string) bool {
+	_, evacuated := s.Evacuations[domain]
+	return evacuated
+}
+
+// AvailableMembers returns the members of a service outside of evacuated failure
+// domains, ordered by ID.
+func (s *Snapshot) AvailableMembers(service string) []Member {
+	members := s.byService[service]
+	if len(s.Evacuations) == 0 {
+		return members
+	}
+	available := make([]Member, 0, len(members))
+	for _, m := range members {
+		if !s.Evacuated(m.Domain) {
+			available = append(available, m)
+		}
+	}
+	return available
+}
+
 // Domains returns the names of the failure domains with members, sorted.
 func (s *Snapshot) Domains() []string {
 	names := make([]string, 0, len(s.byDomain))
