--- a/admission/graph/closedloop_test.go
+++ b/admission/graph/closedloop_test.go
@@ -17,9 +17,9 @@
 	events eventQueue
 	leaf   *service
 	middle *service
-	// Trees that arrive after the end of the warm-up are counted: all, those
-	// admitted, and those completed by their deadline.
-	warmup                       time.Time
+	// Trees that arrive after the end of the warm-up, and before countUntil if that is
+	// set, are counted: all, those admitted, and those completed by their deadline.
+	warmup, countUntil           time.Time
 	arrived, admitted, completed int
 	// leafRunTime is the mean run time at the leaf, leafCallsPerRun the number of
 	// leaf calls of a run at the middle service.
@@ -88,7 +88,7 @@
 // arrive starts a tree if the levels admit it and schedules the next arrival.
 func (l *treeSim) arrive(perSecond float64) {
 	l.after(time.Duration(l.rng.ExpFloat64()/perSecond*float64(time.Second)), func() { l.arrive(perSecond) })
-	counted := l.now.After(l.warmup)
+	counted := l.now.After(l.warmup) && (l.countUntil.IsZero() || l.now.Before(l.countUntil))
 	if counted {
 		l.arrived++
 	}
@@ -194,13 +194,13 @@
 		const length, warmup = 11 * time.Second, 3 * time.Second
 		capacity := leafInstances * leafSlots / (middleCalls * leafCalls * leafRun.Seconds())
 		l := &treeSim{
-			rng: rand.New(rand.NewPCG(seed, 1)), now: start, warmup: start.Add(warmup),
+			rng: rand.New(rand.NewPCG(seed, 1)), now: start, warmup: start.Add(warmup), countUntil: start.Add(length),
 			leafRunTime: leafRun, leafCallsPerRun: leafCalls,
 			leaf: newService(leafInstances, leafSlots), middle: newService(middleInstances, middleSlots),
 		}
 		l.tick()
 		l.arrive(2 * capacity)
-		l.run(length)
+		l.run(length + rootTimeout)
 		used := float64(l.completed) / (capacity * (length - warmup).Seconds())
 		failed := 1 - float64(l.completed)/float64(l.admitted)
 		t.Logf("seed %d: completed trees are %.2f of the leaf's capacity, %.2f of the admitted trees failed", seed, used, failed)
@@ -219,14 +219,14 @@
 		perInstance := 0.4 * leafSlots / leafRun.Seconds()
 		capacity := leafInstances * perInstance / (middleCalls * leafCalls)
 		l := &treeSim{
-			rng: rand.New(rand.NewPCG(seed, 1)), now: start, warmup: start.Add(warmup),
+			rng: rand.New(rand.NewPCG(seed, 1)), now: start, warmup: start.Add(warmup), countUntil: start.Add(length),
 			leafRunTime: leafRun, leafCallsPerRun: leafCalls,
 			leaf: newService(leafInstances, leafSlots), middle: newService(middleInstances, middleSlots),
 		}
 		l.leaf.limitInstances(start, perInstance)
 		l.tick()
 		l.arrive(2 * capacity)
-		l.run(length)
+		l.run(length + rootTimeout)
 		used := float64(l.completed) / (capacity * (length - warmup).Seconds())
 		failed := 1 - float64(l.completed)/float64(l.admitted)
 		t.Logf("seed %d: completed trees are %.2f of what the limits allow, %.2f of the admitted trees failed", seed, used, failed)
--- a/admission/graph/gate.go
+++ b/admission/graph/gate.go
@@ -81,6 +81,7 @@
 	queue              ticketQueue
 	routes             map[string]*routeRuns
 	runTimes           map[string]time.Duration
+	longestLeft        map[string]time.Duration // until the deadline of nested calls, by route
 	meanRunTime        time.Duration
 	lastRejection      time.Time // by the instance
 	withheldSlots      int       // slots not used because of recent rejections
@@ -98,7 +99,7 @@
 func NewGate(now time.Time) *Gate {
 	return &Gate{
 		slots: defaultSlots, created: now,
-		routes: map[string]*routeRuns{}, runTimes: map[string]time.Duration{},
+		routes: map[string]*routeRuns{}, runTimes: map[string]time.Duration{}, longestLeft: map[string]time.Duration{},
 	}
 }
 
@@ -236,6 +237,9 @@
 func (g *Gate) Offer(now time.Time, t *Ticket) bool {
 	runTime := g.runTimes[t.Route]
 	t.StartBy, t.WaitUntil = waitBounds(now, t, runTime)
+	if t.NestedCall {
+		t.StartBy = t.StartBy.Add(-g.timeSpent(now, t))
+	}
 	if t.latestStart(runTime).Before(now) {
 		t.state = stateRefused
 		return false
@@ -257,6 +261,17 @@
 	return true
 }
 
+// timeSpent returns how much less time is left for a nested call than for the first
+// calls of trees on its route. By that much it starts earlier, so that among the calls
+// of a route those of the oldest trees go first: in a burst these trees are completed,
+// instead of all trees running out of time together.
+func (g *Gate) timeSpent(now time.Time, t *Ticket) time.Duration {
+	left := t.Deadline.Sub(now)
+	longest := max(left, time.Duration(longestDecay*float64(g.longestLeft[t.Route])))
+	g.longestLeft[t.Route] = longest
+	return longest - left
+}
+
 // latestStart returns the latest start at which the call may still meet its
 // deadline. It allows for a run shorter than the mean because the mean includes
 // the time that runs wait for nested calls.
--- a/admission/graph/level.go
+++ b/admission/graph/level.go
@@ -16,9 +16,10 @@
 	// load, including callers that were refused and retry.
 	loadPerRank   = 1.3
 	maxLevelDelay = 1500 * time.Millisecond
-	// backlogDrainTime is the time within which waiting calls are to be worked
-	// off.
-	backlogDrainTime = 300 * time.Millisecond
+	// maxDrainTime and minDrainTime bound the time within which waiting calls are to be
+	// worked off.
+	maxDrainTime = 300 * time.Millisecond
+	minDrainTime = 50 * time.Millisecond
 	// maxLoad caps the load used by the controller.
 	maxLoad = 3.0
 )
@@ -38,6 +39,8 @@
 	load    float64
 	updated time.Time
 	recent  []levelSample // samples of the last maxLevelDelay, oldest first
+	// drainTime is the time within which waiting calls are to be worked off.
+	drainTime time.Duration
 }
 
 type levelSample struct {
@@ -46,7 +49,13 @@
 }
 
 // NewLevel returns a level that admits all ranks below top.
-func NewLevel(now time.Time, top float64) *Level { return &Level{value: top, top: top, updated: now} }
+func NewLevel(now time.Time, top float64) *Level {
+	return &Level{value: top, top: top, updated: now, drainTime: maxDrainTime}
+}
+
+// SetDrainTime sets the time within which waiting calls are to be worked off. It is
+// bounded by minDrainTime and maxDrainTime.
+func (l *Level) SetDrainTime(d time.Duration) { l.drainTime = min(max(d, minDrainTime), maxDrainTime) }
 
 // SetTop sets the number of ranks in use.
 func (l *Level) SetTop(top float64) {
@@ -69,7 +78,7 @@
 	}
 	l.load = load
 	lowest, highest := l.limits(now, load)
-	load = min(load+d.Backlog.Seconds()/backlogDrainTime.Seconds(), maxLoad)
+	load = min(load+d.Backlog.Seconds()/l.drainTime.Seconds(), maxLoad)
 	l.value += levelGain * (targetLoad - load) * min(elapsed, 1)
 	l.value = min(max(l.value, lowest, 0), highest, l.top)
 }
--- a/admission/graph/plugin.go
+++ b/admission/graph/plugin.go
@@ -226,6 +226,9 @@
 		p.applyConfig(s)
 	}
 	p.restoreFanout(s)
+	if s.Config != nil {
+		p.level.SetDrainTime(affordableWait(p.host.Self.Service, s.Config.Hosts.Routes(), s.Fanout, p.services))
+	}
 	p.anticipateEvacuation(s)
 }
 
--- a/admission/graph/unanswered.go
+++ b/admission/graph/unanswered.go
@@ -18,8 +18,8 @@
 	// minRunsForLongest is the number of completed runs below which the longest
 	// run time of a route isn't reliable.
 	minRunsForLongest = 200
-	// longestDecay is the factor by which the longest run time decays with every
-	// shorter run.
+	// longestDecay is the factor by which the longest run time, or time left, decays
+	// with every shorter one.
 	longestDecay = 0.9995
 )
 
