--- a/internal/tomlfile/table.go
+++ b/internal/tomlfile/table.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 )
@@ -32,6 +34,9 @@
 	return ok
 }
 
+// Names returns the names of the table's keys, sorted.
+func (t *Table) Names() []string { return slices.Sorted(maps.Keys(t.values)) }
+
 // Valid reports whether the key is present and no getter has rejected its value.
 // Further checks of the value make sense only then.
 func (t *Table) Valid(name string) bool { return t.Has(name) && !t.rejected[name] }
--- a/settings/reload.go
+++ b/settings/reload.go
@@ -31,6 +31,7 @@
 	{"bounds.retry_ratio", false, func(s *Sidecar) any { return s.RetryRatio }},
 	{"bounds.retry_slack", false, func(s *Sidecar) any { return s.RetrySlack }},
 	{"bounds.retry_window", false, func(s *Sidecar) any { return s.RetryWindow }},
+	{"regions", false, func(s *Sidecar) any { return s.Regions }},
 }
 
 // Changed returns the keys of the settings that differ in next, divided into
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -5,8 +5,11 @@
 	"log/slog"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
+	"unicode"
 
+	"github.com/gooseberryflow/gooseberryflow/config"
 	"github.com/gooseberryflow/gooseberryflow/internal/tomlfile"
 )
 
@@ -14,9 +17,9 @@
 var SidecarPlugins = []string{"auth", "quarantine", "graph", "quota", "retry", "routing"}
 
 // Sidecar holds the settings of a node that keeps members and configuration in a
-// keyed store (package sidecar). They come from the tables sidecar, store and
-// bounds, which a settings file has instead of the tables for the other fields of
-// Settings.
+// keyed store (package sidecar). They come from the tables sidecar, store, bounds
+// and regions, which a settings file has instead of the tables for the other fields
+// of Settings.
 type Sidecar struct {
 	// Name identifies the node in the fleet. It stays the same when the process
 	// restarts.
@@ -56,6 +59,10 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+
+	// Regions maps failure domains to their regions, as configurations name them. A
+	// failure domain that is missing is in no region.
+	Regions map[string]string
 }
 
 // Limits of the sidecar settings.
@@ -64,6 +71,7 @@
 	minKeyWithdrawal = time.Second
 	minConfigApply   = time.Second
 	maxPartitions    = 1024
+	maxRegionBytes   = 63
 )
 
 func readSidecar(root *tomlfile.Table) *Sidecar {
@@ -101,9 +109,38 @@
 		store.Reportf("partitions", "must be from 1 to %d", maxPartitions)
 	}
 	s.readBounds(bounds)
+	s.Regions = readRegions(root.Table("regions"))
 	return s
 }
 
+// readRegions returns the region of each failure domain; nil if the table is empty.
+func readRegions(t *tomlfile.Table) map[string]string {
+	var regions map[string]string
+	for _, domain := range t.Names() {
+		region := t.String(domain)
+		if !config.ValidName(domain) {
+			t.Reportf(domain, "%q is not a valid name of a failure domain (1 to 63 lower-case letters, digits and hyphens)", domain)
+		}
+		if t.Valid(domain) && !validRegion(region) {
+			t.Reportf(domain, "%q is not a valid region (1 to %d bytes, printable, no space at either end)", region, maxRegionBytes)
+		}
+		if regions == nil {
+			regions = map[string]string{}
+		}
+		regions[domain] = region
+	}
+	return regions
+}
+
+// validRegion reports whether a region can be named in the settings. Configurations
+// choose the names, so only what is likely to be a mistake is rejected.
+func validRegion(name string) bool {
+	if name == "" || len(name) > maxRegionBytes || strings.TrimSpace(name) != name {
+		return false
+	}
+	return !strings.ContainsFunc(name, func(r rune) bool { return !unicode.IsPrint(r) })
+}
+
 func (s *Sidecar) readBounds(t *tomlfile.Table) {
 	t.Require("key_withdrawal", "retry_ratio", "retry_slack", "retry_window")
 	if t.Has("config_apply") {
@@ -151,5 +188,6 @@
 		slog.Int64("memory_mb", s.MemoryMB),
 		slog.Duration("key_withdrawal", s.KeyWithdrawal),
 		slog.Any("plugins", s.Plugins),
+		slog.Any("regions", s.Regions),
 	)
 }
