routing: calls run only in allowed regions

The members that a call may be sent to are filtered by the regions that its route and customer allow. A call without such a member is refused as not run, with the reason region. An attempt refused so does not replace the result of the attempt before it, which may have run.

--- a/kernel/call.go
+++ b/kernel/call.go
@@ -68,6 +68,9 @@
 	// OpenRoute is set for calls on a route that needs no key. It is not sent to
 	// the owner.
 	OpenRoute bool `cbor:"-"`
+	// RouteRegions lists the regions in which the route allows the call to run; empty:
+	// all. It is not sent to the owner.
+	RouteRegions []string `cbor:"-"`
 	// Arrived is when the entry node had read the request. It is not sent to the
 	// owner.
 	Arrived time.Time `cbor:"-"`
@@ -195,6 +198,7 @@
 	ReasonKeyMissing          Reason = "idempotency-key-missing"
 	ReasonResendBudget        Reason = "resend-budget"
 	ReasonEvacuated           Reason = "evacuated"
+	ReasonRegion              Reason = "region"
 )
 
 var reasonStatus = map[Reason]int{
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -27,6 +27,9 @@
 	// MaxKeyAge returns the ConfigAge above which no key is accepted. If it is
 	// nil, there is no bound.
 	MaxKeyAge func() time.Duration
+	// Regions maps failure domains to their regions. A failure domain that is missing
+	// is in no region. The map is never changed.
+	Regions map[string]string
 	// InstancesOutliveNodes is set if an instance keeps running when the node
 	// beside it ends, so that the loss of a node does not imply the loss of its
 	// instance.
--- a/retry/plugin.go
+++ b/retry/plugin.go
@@ -151,7 +151,7 @@
 
 // foundNoOwner reports whether routing found no owner for the attempt.
 func foundNoOwner(r *kernel.Result) bool {
-	return r.Reason == kernel.ReasonNoUpstream && r.Owner == ""
+	return (r.Reason == kernel.ReasonNoUpstream || r.Reason == kernel.ReasonRegion) && r.Owner == ""
 }
 
 // newID returns a UUIDv7 for another attempt.
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -20,6 +20,12 @@
 // if its occupancy and pressure are lower by a tenth. Without a usable member
 // in the node's own domain, members of other domains are drawn at once.
 //
+// # Regions
+//
+// If the call's route or customer allows only some regions, the members in failure
+// domains of other regions are left out, for every attempt. If no member is left, the
+// call is refused as not run (kernel.ReasonRegion).
+//
 // # Ejection
 //
 // A member is ejected after a lost call or failed connection, after three
--- a/routing/naive.go
+++ b/routing/naive.go
@@ -10,7 +10,8 @@
 	kernel.Register(kernel.PluginInfo{Name: "naive-routing", Order: Order, New: func() kernel.Plugin { return &Naive{} }})
 }
 
-// Naive is the baseline: it chooses a member of the service at random.
+// Naive is the baseline: it chooses a member of the service at random. It does not
+// enforce allowed regions.
 type Naive struct {
 	host *kernel.Host
 }
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -22,7 +22,15 @@
 
 // pick claims a member for a call. It returns nil if there is none.
 func (g *group) pick(now time.Time, rand func() uint64, t *triedOwners) *owner {
-	usable := func(o *owner) bool { return !o.draining(now) && !t.has(o.member.ID) }
+	return g.pickAllowed(now, rand, t, nil)
+}
+
+// pickAllowed is like pick but claims only members that pass the filter allowed; nil
+// allows all.
+func (g *group) pickAllowed(now time.Time, rand func() uint64, t *triedOwners, allowed filter) *owner {
+	usable := func(o *owner) bool {
+		return (allowed == nil || allowed(o)) && !o.draining(now) && !t.has(o.member.ID)
+	}
 	eligible := func(o *owner) bool { return usable(o) && o.selectable(now) }
 	// A second round is needed only if another call has claimed the same probe.
 	for range 2 {
--- a/routing/plugin.go
+++ b/routing/plugin.go
@@ -45,13 +45,14 @@
 
 func (p *Plugin) serve(ctx context.Context, c *kernel.Call) *kernel.Result {
 	t := triedOwnersFrom(ctx)
-	g := p.current().groups[c.Service]
+	v := p.current()
+	g := v.groups[c.Service]
 	if g == nil {
 		return noUpstream(c)
 	}
-	o := g.pick(p.host.Now(), p.host.Rand, t)
-	if o == nil {
-		return noUpstream(c)
+	o, refusal := p.pick(v, g, c, t)
+	if refusal != nil {
+		return refusal
 	}
 	t.add(o.member.ID)
 	r := p.host.Forward(ctx, o.member, o.memory.Load().tell(c, p.host.Now()))
@@ -62,6 +63,31 @@
 	return r
 }
 
+// pick claims an owner for a call, or returns the refusal.
+func (p *Plugin) pick(v *view, g *group, c *kernel.Call, t *triedOwners) (*owner, *kernel.Result) {
+	if rule := newRegionRule(v, c, p.host.Regions); rule.binds() {
+		return p.pickInRegions(rule, g, c, t)
+	}
+	o := g.pick(p.host.Now(), p.host.Rand, t)
+	if o == nil {
+		return nil, noUpstream(c)
+	}
+	return o, nil
+}
+
+// pickInRegions is pick for a call that may run only in some regions. The rule is a
+// value so that it is allocated only for such calls.
+func (p *Plugin) pickInRegions(rule regionRule, g *group, c *kernel.Call, t *triedOwners) (*owner, *kernel.Result) {
+	if !g.any(rule.allows) {
+		return nil, kernel.Refuse(kernel.ReasonRegion, rule.refusalDetail(c.Service), 0)
+	}
+	o := g.pickAllowed(p.host.Now(), p.host.Rand, t, rule.allows)
+	if o == nil {
+		return nil, noUpstream(c)
+	}
+	return o, nil
+}
+
 // remember records what a result tells of the owner's instance.
 func (p *Plugin) remember(o *owner, r *kernel.Result) {
 	m := o.memory.Load()
--- a/routing/view.go
+++ b/routing/view.go
@@ -21,6 +21,9 @@
 	snapshot *state.Snapshot
 	groups   map[string]*group
 	owners   map[state.MemberID]*owner
+	// customersNameRegions is set if the configuration allows a customer only some
+	// regions.
+	customersNameRegions bool
 }
 
 // newView builds the view of a snapshot. It reuses the stats of members that
@@ -30,6 +33,8 @@
 		snapshot: s,
 		groups:   map[string]*group{},
 		owners:   make(map[state.MemberID]*owner, len(s.Members)),
+
+		customersNameRegions: customersNameRegions(s.Config),
 	}
 	for _, domain := range s.Domains() {
 		for _, m := range s.Domain(domain) {
