--- a/internal/daemontest/settings.go
+++ b/internal/daemontest/settings.go
@@ -20,6 +20,8 @@
 	KeyWithdrawal time.Duration
 	RetryRatio    float64
 	RetrySlack    float64
+	// Regions maps failure domains to regions.
+	Regions map[string]string
 }
 
 // TOML returns the text of the settings file.
@@ -31,6 +33,10 @@
 	if s.Plugins != "" {
 		optional += "plugins = " + s.Plugins + "\n"
 	}
+	regions := ""
+	for domain, region := range s.Regions {
+		regions += fmt.Sprintf("%q = %q\n", domain, region)
+	}
 	return fmt.Sprintf(`[sidecar]
 name = %q
 service = %q
@@ -53,6 +59,7 @@
 retry_ratio = %g
 retry_slack = %g
 retry_window = "10s"
-`, s.Name, s.Service, s.FailureDomain, s.CallerAddr, s.HealthAddr, s.HeartbeatAddr, s.MetricsAddr, s.CallAddr, s.UpstreamAddr,
-		s.StopTimeout, optional, s.StoreAddr, s.Partitions, s.KeyWithdrawal, s.RetryRatio, s.RetrySlack)
+[regions]
+%s`, s.Name, s.Service, s.FailureDomain, s.CallerAddr, s.HealthAddr, s.HeartbeatAddr, s.MetricsAddr, s.CallAddr, s.UpstreamAddr,
+		s.StopTimeout, optional, s.StoreAddr, s.Partitions, s.KeyWithdrawal, s.RetryRatio, s.RetrySlack, regions)
 }
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -52,6 +52,8 @@
 	// ConfigApply is the time within which a new configuration has to be in force;
 	// zero means unset.
 	ConfigApply time.Duration
+	// Regions maps failure domains to their regions.
+	Regions map[string]string
 	Limits
 	Retries kernel.RetryBounds
 	Pools   kernel.PoolSettings
@@ -129,6 +131,7 @@
 		Snapshot:  n.directory.Snapshot,
 		ConfigAge: n.directory.ConfigAge,
 		MaxKeyAge: func() time.Duration { return n.limits.Load().MaxKeyAge },
+		Regions:   s.Regions,
 		// The platform restarts nodes while their instances keep running.
 		InstancesOutliveNodes: true,
 		RateLimit:             n.instanceRateLimit,
