kernel, sidecar: load reports carry the work time of the instance

An owner's result tells how long work takes at its instance now and on average. Between sidecar nodes it is part of the unpaired last header element; without a report it is an array there, which builds that know only reports take for none.

--- a/kernel/call.go
+++ b/kernel/call.go
@@ -165,6 +165,8 @@
 	// Report is what the instance has said of itself; nil if there is nothing to
 	// tell.
 	Report *InstanceReport `cbor:"6,keyasint,omitempty"`
+	// Work is the work time of the instance; zero if it reports none.
+	Work WorkTime `cbor:"7,keyasint,omitzero"`
 }
 
 // Reason classifies results produced by a node rather than an upstream.
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"errors"
+	"math"
 	"net/http"
 	"time"
 
@@ -106,32 +107,77 @@
 	return flat
 }
 
-// appendReport appends a report to a flattened header as an unpaired last element.
-// The messages are arrays of fixed length, and builds that know no reports ignore an
-// unpaired element.
-func appendReport(flat []string, report *kernel.InstanceReport) []string {
-	if report == nil {
+// report is what a message tells of an instance.
+type report struct {
+	*kernel.InstanceReport
+	// Work is the work time now and its mean; empty if none is reported.
+	Work []float64 `json:"work,omitempty"`
+}
+
+// workTimeDecimals is the factor by which work times are rounded for messages: bytes
+// between failure domains are paid for.
+const workTimeDecimals = 100
+
+// appendReport appends what is known of an instance to a flattened header as an
+// unpaired last element. The messages are arrays of fixed length, and builds that know
+// no reports ignore an unpaired element. A work time without a report is an array in
+// place of an object, so that builds that know only reports don't take it for one.
+func appendReport(flat []string, known *kernel.InstanceReport, work kernel.WorkTime) []string {
+	if known == nil && !work.Reported() {
 		return flat
 	}
-	text, err := json.Marshal(report)
+	var element any = known
+	if work.Reported() {
+		rounded := []float64{roundWorkTime(work.Now), roundWorkTime(work.Mean)}
+		element = rounded
+		if known != nil {
+			element = report{known, rounded}
+		}
+	}
+	text, err := json.Marshal(element)
 	if err != nil {
 		panic("sidecar: " + err.Error()) // the fields of a report can always be encoded
 	}
 	return append(flat, string(text))
 }
 
-// reportOf returns the report that appendReport has appended, or nil if there is none
-// or it is of an unknown format.
+func roundWorkTime(value float64) float64 {
+	return math.Round(kernel.BoundWorkTime(value)*workTimeDecimals) / workTimeDecimals
+}
+
+// reportOf returns the report that appendReport has appended, or nil.
 func reportOf(flat []string) *kernel.InstanceReport {
+	known, _ := appendedTo(flat)
+	return known
+}
+
+// appendedTo returns what appendReport has appended. The report is nil if there is none,
+// if it is of an unknown format, or if it says nothing that holds for longer than a
+// work time, so that nobody keeps it.
+func appendedTo(flat []string) (*kernel.InstanceReport, kernel.WorkTime) {
 	if len(flat)%2 == 0 {
-		return nil
+		return nil, kernel.WorkTime{}
+	}
+	var r report
+	text := []byte(flat[len(flat)-1])
+	if json.Unmarshal(text, &r.Work) == nil {
+		return nil, workTimeOf(r.Work)
+	}
+	if err := json.Unmarshal(text, &r); err != nil {
+		return nil, kernel.WorkTime{}
 	}
-	var report kernel.InstanceReport
-	if err := json.Unmarshal([]byte(flat[len(flat)-1]), &report); err != nil {
-		return nil
+	if r.InstanceReport == nil || r.RateLimit == 0 && !r.Leaving {
+		return nil, workTimeOf(r.Work)
+	}
+	r.Age = max(r.Age, 0)
+	return r.InstanceReport, workTimeOf(r.Work)
+}
+
+func workTimeOf(values []float64) kernel.WorkTime {
+	if len(values) < 2 {
+		return kernel.WorkTime{}
 	}
-	report.Age = max(report.Age, 0)
-	return &report
+	return kernel.WorkTime{Now: values[0], Mean: values[1]}.Bounded()
 }
 
 func unflattenHeader(flat []string) http.Header {
@@ -151,7 +197,7 @@
 func encodeCall(c *kernel.Call, remaining time.Duration) ([]byte, error) {
 	return encodeMessage(callMessage{
 		Service: c.Service, Route: c.RouteName, Method: c.Method, Host: c.Host, Path: c.Path,
-		Header: appendReport(flattenHeader(c.Header), c.Known), Customer: c.Customer, CallerID: c.CallerID, Origin: c.Origin,
+		Header: appendReport(flattenHeader(c.Header), c.Known, kernel.WorkTime{}), Customer: c.Customer, CallerID: c.CallerID, Origin: c.Origin,
 		Priority: uint8(c.Priority), Idempotent: c.Idempotent, Depth: c.Depth, LatencyMS: c.TargetLatencyMS,
 		RemainingUS: remaining.Microseconds(),
 	}, nil)
@@ -185,7 +231,7 @@
 		m.HasLoad = true
 		m.Limit, m.InFlight, m.Queued = l.Limit, l.InFlight, l.Queued
 		m.Draining = l.Draining
-		m.Header = appendReport(m.Header, l.Report)
+		m.Header = appendReport(m.Header, l.Report, l.Work)
 	}
 	return encodeMessage(m, r.Body)
 }
@@ -202,7 +248,8 @@
 		InstanceLost: m.InstanceLost, Dispatched: m.Dispatched,
 	}
 	if m.HasLoad {
-		r.Load = &kernel.Load{Limit: m.Limit, InFlight: m.InFlight, Queued: m.Queued, Draining: m.Draining, Report: reportOf(m.Header)}
+		r.Load = &kernel.Load{Limit: m.Limit, InFlight: m.InFlight, Queued: m.Queued, Draining: m.Draining}
+		r.Load.Report, r.Load.Work = appendedTo(m.Header)
 	}
 	return r, nil
 }
