routing: members are compared by the time that a call would take

Where a work time is reported, occupancy counts the work ahead, two choices compare the time to finish, and calls go to other failure domains for a clear gain, with hysteresis and a share that grows with the gain. A domain that can't be reached is not room. Without reported work times nothing changes.

--- a/kernel/host.go
+++ b/kernel/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"log/slog"
 	"time"
@@ -49,6 +50,9 @@
 	// Forward sends a call to its owner node and returns the owner's result. If
 	// the owner is this node, the call runs in the local owner chain.
 	Forward func(ctx context.Context, owner state.Member, c *Call) *Result
+	// Publish adds a variable to the node's metrics. It is nil if the node publishes
+	// none of its plug-ins.
+	Publish func(name string, v expvar.Var)
 	// Go runs f on a goroutine that the node waits for at shutdown.
 	Go func(f func())
 }
@@ -61,6 +65,13 @@
 	return h.RateLimit()
 }
 
+// PublishMetric calls Publish unless it is nil.
+func (h *Host) PublishMetric(name string, v expvar.Var) {
+	if h.Publish != nil {
+		h.Publish(name, v)
+	}
+}
+
 // PoolSettings configures how partitions of customers' rate pools are assigned to
 // nodes.
 type PoolSettings struct {
--- a/routing/eject.go
+++ b/routing/eject.go
@@ -67,7 +67,9 @@
 	if r.Dispatched {
 		o.recordDispatch(r.Outcome == kernel.OutcomeNotRun && r.Reason == kernel.ReasonOverload, now)
 	}
-	switch h, failurePoints := classify(r); h {
+	h, failurePoints := classify(r)
+	o.recordReach(h, failurePoints, now)
+	switch h {
 	case healthGood:
 		o.recordAnswer(false)
 		o.failurePoints.Store(0)
--- a/routing/owner.go
+++ b/routing/owner.go
@@ -32,6 +32,7 @@
 	*stats
 	member state.Member
 	self   bool
+	reach  *reachability // of the member's failure domain
 }
 
 // stats is what this node learns about a member from its calls. It is kept when
@@ -41,12 +42,15 @@
 	limit           atomic.Int64 // zero: no report yet
 	otherNodesCalls atomic.Int64 // calls of other nodes at the latest report
 	reportedAt      atomic.Int64 // Unix ms
-	drainUntil      atomic.Int64 // Unix ms
-	memory          atomic.Pointer[nodeMemory]
+	// work is the work time in the latest report (packWorkTime); zero if it has none.
+	work       atomic.Uint64
+	drainUntil atomic.Int64 // Unix ms
+	memory     atomic.Pointer[nodeMemory]
 
 	rejectShareBits      atomic.Uint64 // float bits of the moving share of rejected calls
 	rejectShareUpdatedAt atomic.Int64  // Unix ms
 	failurePoints        atomic.Int64  // since the latest answer
+	failedAt             atomic.Int64  // Unix ms of the latest failed call
 	errorShareBits       atomic.Uint64 // float bits of the moving share of answers with an error
 	answerCount          atomic.Int64  // answers in errorShareBits
 	ejectUntil           atomic.Int64  // Unix ms; zero: not ejected
@@ -66,6 +70,7 @@
 	otherNodesCalls := int64(l.InFlight+l.Queued) - o.outstanding.Load()
 	o.otherNodesCalls.Store(max(otherNodesCalls, 0))
 	o.limit.Store(int64(l.Limit))
+	o.work.Store(packWorkTime(l.Work.Bounded()))
 	o.reportedAt.Store(now.UnixMilli())
 }
 
@@ -80,8 +85,15 @@
 	return o.occupancy(now) + rejectPressureWeight*o.rejectShare(now)
 }
 
-// occupancy returns the number of calls at the member divided by its limit.
+// occupancy returns the work ahead of a call in units of what the member does in the
+// usual time: the number of calls at the member, times its work time, divided by its
+// limit.
 func (o *owner) occupancy(now time.Time) float64 {
+	return o.usedShare(now) * o.workTime(now)
+}
+
+// usedShare returns the number of calls at the member divided by its limit.
+func (o *owner) usedShare(now time.Time) float64 {
 	own := float64(o.outstanding.Load())
 	limit := o.limit.Load()
 	if limit == 0 {
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -47,6 +47,9 @@
 	if bestLocal == nil {
 		return twoChoices(g.remote, now, rand, f)
 	}
+	if bestLocal.reportsWorkTime() {
+		return g.chooseByTime(now, rand, bestLocal, f)
+	}
 	if !bestLocal.hasReport() || bestLocal.pressure(now) < spillPressure && bestLocal.occupancy(now) < spillOccupancy {
 		return bestLocal
 	}
@@ -56,6 +59,20 @@
 	return bestLocal
 }
 
+// chooseByTime returns the local member or one of another failure domain that would take
+// clearly less time.
+func (g *group) chooseByTime(now time.Time, rand func() uint64, local *owner, f filter) *owner {
+	if len(g.remote) == 0 || !g.shift.considered(now, local) {
+		return local
+	}
+	remote := twoChoices(g.remote, now, rand, func(o *owner) bool { return o.isRoom(now) && f(o) })
+	if remote == nil || !g.shift.moves(now, rand(), local, remote) {
+		return local
+	}
+	g.shift.record(now)
+	return remote
+}
+
 // shouldSpill reports whether a call should go to the remote member instead of
 // the local one.
 func shouldSpill(now time.Time, local, remote *owner) bool {
@@ -67,20 +84,18 @@
 	return localOccupancy >= spillOccupancy && remoteOccupancy+occupancyMargin < localOccupancy && remotePressure+occupancyMargin < localPressure
 }
 
-// preferSelf returns the node's own instance if it is under no more pressure
-// than the alternative, and otherwise the alternative.
+// preferSelf returns the node's own instance unless the alternative is faster.
 func (g *group) preferSelf(now time.Time, self, alternative *owner, f filter) *owner {
 	if self == nil || !f(self) {
 		return alternative
 	}
-	if alternative == nil || self.pressure(now) <= alternative.pressure(now) {
+	if alternative == nil || !alternative.faster(self, now) {
 		return self
 	}
 	return alternative
 }
 
-// twoChoices draws two different members at random and returns the one under less
-// pressure.
+// twoChoices draws two different members at random and returns the faster one.
 func twoChoices(owners []*owner, now time.Time, rand func() uint64, f filter) *owner {
 	if len(owners) == 0 {
 		return nil
@@ -90,7 +105,7 @@
 		return nil
 	}
 	b := firstAccepted(owners, rand(), f, a)
-	if b != nil && b.pressure(now) < a.pressure(now) {
+	if b != nil && b.faster(a, now) {
 		return b
 	}
 	return a
--- a/routing/plugin.go
+++ b/routing/plugin.go
@@ -29,6 +29,7 @@
 func (p *Plugin) Provision(h *kernel.Host) error {
 	p.host = h
 	p.known = memories{}
+	p.publish()
 	return nil
 }
 
@@ -54,10 +55,15 @@
 		return noUpstream(c)
 	}
 	t.add(o.member.ID)
-	r := p.host.Forward(ctx, o.member, o.memory.Load().tell(c, p.host.Now()))
+	sent := p.host.Now()
+	r := p.host.Forward(ctx, o.member, o.memory.Load().tell(c, sent))
 	r.Owner = o.member.ID
 	p.remember(o, r)
-	g.recordResult(o, r, p.host.Now(), p.host.Rand())
+	answered := p.host.Now()
+	g.recordResult(o, r, answered, p.host.Rand())
+	if r.Outcome == kernel.OutcomeAnswered && o.member.Domain == g.domain {
+		g.shift.recordCall(answered.Sub(sent))
+	}
 	observe(ctx, c, r)
 	return r
 }
--- a/routing/view.go
+++ b/routing/view.go
@@ -8,9 +8,11 @@
 
 // group is the members of a service.
 type group struct {
+	domain string   // the node's own failure domain
 	local  []*owner // in the node's own failure domain
 	remote []*owner
 	self   *owner // this node's own instance, if it is of the service
+	shift  *shift
 
 	mu sync.Mutex // held while a member is being ejected
 }
@@ -21,6 +23,7 @@
 	snapshot *state.Snapshot
 	groups   map[string]*group
 	owners   map[state.MemberID]*owner
+	reach    map[string]*reachability // by failure domain
 }
 
 // newView builds the view of a snapshot. It reuses the stats of members that
@@ -30,6 +33,7 @@
 		snapshot: s,
 		groups:   map[string]*group{},
 		owners:   make(map[state.MemberID]*owner, len(s.Members)),
+		reach:    map[string]*reachability{},
 	}
 	for _, domain := range s.Domains() {
 		for _, m := range s.Domain(domain) {
@@ -40,7 +44,7 @@
 }
 
 func (v *view) add(m state.Member, self state.Member, previous *view, known memories) {
-	o := &owner{stats: previousStats(previous, m), member: m, self: m.ID == self.ID}
+	o := &owner{stats: previousStats(previous, m), member: m, self: m.ID == self.ID, reach: v.reachOf(m, previous)}
 	if len(known) > 0 && o.memory.Load() == nil {
 		o.memory.Store(known[m.ID.NodeName()])
 	}
@@ -50,7 +54,7 @@
 	}
 	g := v.groups[m.Service]
 	if g == nil {
-		g = &group{}
+		g = &group{domain: self.Domain, shift: previousShift(previous, m.Service)}
 		v.groups[m.Service] = g
 	}
 	if o.self {
@@ -75,3 +79,12 @@
 	}
 	return old.stats
 }
+
+// previousShift returns the state of a service's shift in the previous view, or the
+// initial one.
+func previousShift(previous *view, service string) *shift {
+	if previous == nil || previous.groups[service] == nil {
+		return &shift{}
+	}
+	return previous.groups[service].shift
+}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -139,6 +139,7 @@
 		Peers:                 network,
 		Log:                   log,
 		Forward:               n.forward,
+		Publish:               n.Publish,
 		Go:                    n.background.Go,
 	}
 	if n.plugins, err = kernel.NewPluginSet(n.host, s.Plugins); err != nil {
