graph: run times follow the work time of the instance

A call that can't meet its deadline at a momentarily slow instance is refused before it is sent, and waiting calls that would start too late there are refused each tick so that the entry node may move them. The load report tells the work time.

--- a/admission/graph/doc.go
+++ b/admission/graph/doc.go
@@ -18,6 +18,15 @@
 // instance as full. A second level follows the rate limit while
 // there is one; the lower of both counts.
 //
+// If the instance reports how long work takes at the moment, run times are scaled by
+// the present work time relative to that of the runs that the mean run times come from,
+// for the half second that a slow phase may last. A route whose run times don't follow
+// the work time, since its runs wait for nested calls, is scaled by as much as they do.
+// The scaled times decide on deadlines, waits, capacity and demand. Each tick, waiting
+// calls that would wait too long at an instance that has become slow are refused as not
+// sent, and the entry node tries another owner. The load report tells the work time, the
+// latest figure decaying towards the mean of some seconds.
+//
 // After a start, slots are kept free for runs that an earlier process may have
 // left, according to the load that the instance reports. An idempotent call
 // that has been overtaken by many later calls of its route is cancelled: some
--- a/admission/graph/gate.go
+++ b/admission/graph/gate.go
@@ -56,11 +56,12 @@
 	StartBy   time.Time
 	WaitUntil time.Time
 
-	startedAt time.Time
-	position  runPosition
-	state     ticketState
-	heapIndex int
-	ready     chan struct{} // closed when a waiting ticket starts
+	startedAt   time.Time
+	workAtStart float64 // work time of the instance; zero if it reports none
+	position    runPosition
+	state       ticketState
+	heapIndex   int
+	ready       chan struct{} // closed when a waiting ticket starts
 }
 
 type ticketState uint8
@@ -82,6 +83,10 @@
 	routes             map[string]*routeRuns
 	runTimes           map[string]time.Duration
 	meanRunTime        time.Duration
+	workTime           workTimeTracker
+	currentWork        float64 // work time expected now; zero if none is reported
+	routeWork          map[string]*runWork
+	allWork            runWork   // of all routes
 	lastRejection      time.Time // by the instance
 	withheldSlots      int       // slots not used because of recent rejections
 	offeredSlotSeconds float64   // demand since the last call of Demand
@@ -98,7 +103,7 @@
 func NewGate(now time.Time) *Gate {
 	return &Gate{
 		slots: defaultSlots, created: now,
-		routes: map[string]*routeRuns{}, runTimes: map[string]time.Duration{},
+		routes: map[string]*routeRuns{}, runTimes: map[string]time.Duration{}, routeWork: map[string]*runWork{},
 	}
 }
 
@@ -133,7 +138,7 @@
 func (g *Gate) Capacity(now time.Time) int {
 	limit := g.Limit(now)
 	if rate := g.pacer.Rate(); rate > 0 {
-		limit = min(limit, max(int(math.Ceil(min(rate*g.meanRunTime.Seconds(), float64(g.slots)))), 1))
+		limit = min(limit, max(int(math.Ceil(min(rate*g.anyRunTime().Seconds(), float64(g.slots)))), 1))
 	}
 	return limit
 }
@@ -221,7 +226,7 @@
 func (g *Gate) Backlog() time.Duration {
 	var work time.Duration
 	for _, t := range g.queue {
-		work += g.runTimes[t.Route]
+		work += g.runTime(t.Route)
 	}
 	return work / time.Duration(g.slots)
 }
@@ -234,7 +239,8 @@
 // Offer admits, queues or refuses a call. It returns false if the call is
 // refused.
 func (g *Gate) Offer(now time.Time, t *Ticket) bool {
-	runTime := g.runTimes[t.Route]
+	g.updateWork(now)
+	runTime := g.runTime(t.Route)
 	t.StartBy, t.WaitUntil = waitBounds(now, t, runTime)
 	if t.latestStart(runTime).Before(now) {
 		t.state = stateRefused
@@ -284,9 +290,7 @@
 	return startBy, waitUntil
 }
 
-// expectedWait estimates the time until a call would start: the mean run time
-// for each call queued before it and for one more, divided by the slots, or the time
-// until the rate limit allows these calls, if that is longer.
+// expectedWait estimates the time until a call would start (waitBehind).
 func (g *Gate) expectedWait(now time.Time, t *Ticket) time.Duration {
 	ahead := 0
 	for _, q := range g.queue {
@@ -294,7 +298,7 @@
 			ahead++
 		}
 	}
-	return max(g.meanRunTime*time.Duration(ahead+1)/time.Duration(g.slots), g.pacer.Wait(now, ahead+1))
+	return g.waitBehind(now, ahead)
 }
 
 // Cancel removes a waiting call. It returns false if the call was no longer
@@ -328,6 +332,7 @@
 		g.withheldSlots = min(g.withheldSlots+1, g.slots/2)
 	case completion.Succeeded:
 		g.recordRunTime(t.Route, runTime)
+		g.recordRunWork(now, t, runTime)
 		g.routes[t.Route].recordCompletion(runTime)
 	}
 	g.dispatch(now)
@@ -374,6 +379,7 @@
 	g.pacer.Start(now)
 	g.peakInFlight = max(g.peakInFlight, g.inFlight)
 	t.startedAt = now
+	t.workAtStart = g.workTime.report(now).Now
 	t.state = stateRunning
 	runs := g.routes[t.Route]
 	if runs == nil {
--- a/admission/graph/owner.go
+++ b/admission/graph/owner.go
@@ -55,6 +55,7 @@
 	if r.InstanceLoad != nil {
 		p.mu.Lock()
 		p.gate.ReportLoad(r.InstanceLoad.Running + r.InstanceLoad.Waiting)
+		p.gate.ReportWorkTime(p.host.Now(), r.InstanceLoad.WorkTime)
 		p.mu.Unlock()
 	}
 	p.release(c, t, completion)
@@ -128,6 +129,7 @@
 		Queued:    p.gate.Queued(),
 		Threshold: ^uint32(0),
 		Draining:  p.host.Snapshot().Members[p.host.Self.ID].Draining,
+		Work:      p.gate.workTime.report(now),
 	}
 	p.mu.Unlock()
 }
--- a/admission/graph/plugin.go
+++ b/admission/graph/plugin.go
@@ -90,6 +90,10 @@
 	// levelLoggedAt is when a level below top was logged last; zero while the
 	// level admits all ranks.
 	levelLoggedAt time.Time
+	// instance is the incarnation beside the node that the work times are of;
+	// refusedLate counts the waiting calls refused because it has become slow.
+	instance    state.Incarnation
+	refusedLate int
 }
 
 // Provision initializes the plug-in and registers the handler of notices.
@@ -104,6 +108,7 @@
 	p.serviceLevels = map[string]serviceLevel{}
 	p.top = config.PriorityCount
 	h.Peers.Handle(kindNotice, p.onNotice)
+	p.publish()
 	return nil
 }
 
@@ -125,6 +130,7 @@
 	if self.Draining {
 		p.gate.Flush()
 	}
+	p.followWorkTime(now, self)
 	p.gate.dispatch(now)
 	unanswered := p.gate.Unanswered(now)
 	demand := p.gate.Demand()
@@ -393,7 +399,7 @@
 		rejectedAgo = now.Sub(p.gate.lastRejection).Milliseconds()
 	}
 	p.host.Log.Info("admission level", "open", admitsAll, "level", level.Value(), "top", p.top, "load", level.Load(),
-		"backlog_ms", d.Backlog.Milliseconds(), "slots", p.gate.slots, "limit", p.gate.Limit(now), "rate_limit", p.gate.pacer.Rate(), "in_flight", p.gate.InFlight(),
+		"backlog_ms", d.Backlog.Milliseconds(), "slots", p.gate.slots, "limit", p.gate.Limit(now), "rate_limit", p.gate.pacer.Rate(), "work_time", p.gate.currentWork, "in_flight", p.gate.InFlight(),
 		"queued", p.gate.Queued(), "rejected_ago_ms", rejectedAgo)
 }
 
--- a/retry/plugin.go
+++ b/retry/plugin.go
@@ -102,7 +102,10 @@
 }
 
 // shouldReroute reports whether the call may go to another owner without using
-// the budget: no instance has seen it, and there is time.
+// the budget: no instance has seen it, and there is time. A call that has waited at an
+// owner and was refused there counts as a reroute like any other that was not sent: it
+// is no arrival at an instance, so the budget is not used, but each move costs messages
+// and may end at another full owner, so their number is bounded.
 func (p *Plugin) shouldReroute(ctx context.Context, c *kernel.Call, r *kernel.Result, reroutes int) bool {
 	if r.Outcome != kernel.OutcomeNotRun || r.Dispatched || reroutes >= p.host.Retries.MaxReroutes {
 		return false
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -20,6 +20,26 @@
 // if its occupancy and pressure are lower by a tenth. Without a usable member
 // in the node's own domain, members of other domains are drawn at once.
 //
+// # Members of uneven speed
+//
+// Where members report their work time, occupancy is the number of calls at the member
+// times its work time, divided by its limit: the work ahead of a new call. The two
+// random choices are compared by the time to finish, the work time plus the pressure. A
+// member that reports none counts as 1. The work time in a report approaches the mean in
+// the report, so that a member isn't avoided for longer than its slow phase.
+//
+// If the best local member reports its work time, the thresholds above don't apply. A
+// call then goes to another domain if the local member has an occupancy and pressure of
+// 0.6 or more, and the better of two members of other domains would take less time by
+// half of a usual call and the way to the other domain and back. Once calls go there,
+// they do so down to 0.5 and a gain of 0.3 (hysteresis), and a gain that is hardly above
+// that moves only a part of the calls, since other nodes decide on the same reports.
+//
+// Only members that can be reached are room for such calls: their domain has had no lost
+// call since the last answer from it, for a time that doubles like that of an ejection,
+// and neither has the member. A member whose report is older than 0.5 s gets one call of
+// this node at a time.
+//
 // # Ejection
 //
 // A member is ejected after a lost call or failed connection, after three
