--- a/routing/pick.go
+++ b/routing/pick.go
@@ -20,6 +20,9 @@
 // filter reports whether a member may be chosen.
 type filter func(o *owner) bool
 
+// both returns a filter of what passes two filters.
+func both(f, g filter) filter { return func(o *owner) bool { return f(o) && g(o) } }
+
 // pick claims a member for a call. It returns nil if there is none.
 func (g *group) pick(now time.Time, rand func() uint64, t *triedOwners) *owner {
 	return g.pickAllowed(now, rand, t, nil)
@@ -55,15 +58,35 @@
 	if bestLocal == nil {
 		return twoChoices(g.remote, now, rand, f)
 	}
+	if bestLocal.hasFreshWorkTime(now) {
+		return g.chooseByTime(now, rand, bestLocal, f)
+	}
 	if !bestLocal.hasReport() || bestLocal.pressure(now) < spillPressure && bestLocal.occupancy(now) < spillOccupancy {
 		return bestLocal
 	}
+	if bestLocal.reportsWorkTime() {
+		f = both(f, func(o *owner) bool { return o.isReachable(now) })
+	}
 	if bestRemote := twoChoices(g.remote, now, rand, f); bestRemote != nil && shouldSpill(now, bestLocal, bestRemote) {
 		return bestRemote
 	}
 	return bestLocal
 }
 
+// chooseByTime returns the local member or one of another failure domain that would take
+// clearly less time.
+func (g *group) chooseByTime(now time.Time, rand func() uint64, local *owner, f filter) *owner {
+	if len(g.remote) == 0 || !g.shift.considered(now, local) {
+		return local
+	}
+	remote := twoChoices(g.remote, now, rand, both(f, func(o *owner) bool { return o.isRoom(now) }))
+	if remote == nil || !g.shift.moves(now, rand(), local, remote) {
+		return local
+	}
+	g.shift.record(now)
+	return remote
+}
+
 // shouldSpill reports whether a call should go to the remote member instead of
 // the local one.
 func shouldSpill(now time.Time, local, remote *owner) bool {
@@ -75,20 +98,18 @@
 	return localOccupancy >= spillOccupancy && remoteOccupancy+occupancyMargin < localOccupancy && remotePressure+occupancyMargin < localPressure
 }
 
-// preferSelf returns the node's own instance if it is under no more pressure
-// than the alternative, and otherwise the alternative.
+// preferSelf returns the node's own instance unless the alternative is faster.
 func (g *group) preferSelf(now time.Time, self, alternative *owner, f filter) *owner {
 	if self == nil || !f(self) {
 		return alternative
 	}
-	if alternative == nil || self.pressure(now) <= alternative.pressure(now) {
+	if alternative == nil || !alternative.faster(self, now) {
 		return self
 	}
 	return alternative
 }
 
-// twoChoices draws two different members at random and returns the one under less
-// pressure.
+// twoChoices draws two different members at random and returns the faster one.
 func twoChoices(owners []*owner, now time.Time, rand func() uint64, f filter) *owner {
 	if len(owners) == 0 {
 		return nil
@@ -98,7 +119,7 @@
 		return nil
 	}
 	b := firstAccepted(owners, rand(), f, a)
-	if b != nil && b.pressure(now) < a.pressure(now) {
+	if b != nil && b.faster(a, now) {
 		return b
 	}
 	return a
