directory: evacuations kept after a restore are dropped by all nodes, and by none too soon

A node that learnt a kept evacuation from a peer never dropped it, since the peer's position doesn't change when it drops its own. A node that knew the new incarnation from a peer dropped it with its own first read.

--- a/directory/evacuation.go
+++ b/directory/evacuation.go
@@ -65,6 +65,9 @@
 		maps.Copy(next, d.evacuations.known)
 	}
 	d.evacuationsIn(page, next)
+	if whole {
+		d.keepLost(at, next)
+	}
 	d.replaceEvacuations(at, next, "store")
 }
 
@@ -75,27 +78,39 @@
 	if !d.evacuations.at.before(resp.EvacuationsAt) || resp.EvacuationsAt.Incarnation < d.incarnation {
 		return
 	}
-	d.replaceEvacuations(resp.EvacuationsAt, resp.Evacuations, "peer")
+	next := map[string]state.Evacuation{}
+	maps.Copy(next, resp.Evacuations)
+	if resp.EvacuationsAt.Incarnation > d.evacuations.at.Incarnation {
+		d.keepLost(resp.EvacuationsAt, next)
+	}
+	d.replaceEvacuations(resp.EvacuationsAt, next, "peer")
 }
 
-// replaceEvacuations puts evacuations in force. Those that an earlier incarnation of
-// the store had and the present one lacks stay for configTrustDelay, within which
-// operators write lost records again. d.mu is held.
-func (d *Directory) replaceEvacuations(at topicPosition, next map[string]state.Evacuation, from string) {
-	old := d.evacuations.known
-	if at.Incarnation > d.evacuations.at.Incarnation && d.evacuations.at != (topicPosition{}) {
-		next = maps.Clone(next)
-		if next == nil {
-			next = map[string]state.Evacuation{}
+// keepLost adds the evacuations to next that only an earlier incarnation of the store
+// had. Operators write lost records again. d.mu is held.
+func (d *Directory) keepLost(at topicPosition, next map[string]state.Evacuation) {
+	for domain, e := range d.evacuations.known {
+		if _, present := next[domain]; !present && e.Incarnation < at.Incarnation {
+			next[domain] = e
 		}
-		for domain, e := range old {
-			if _, present := next[domain]; !present {
-				next[domain] = e
+	}
+}
+
+// replaceEvacuations puts evacuations in force. Those of an earlier incarnation of the
+// store stay for configTrustDelay after this node has learnt of the present one, also
+// those that a peer has kept: the position of a peer doesn't change when it drops them.
+// d.mu is held.
+func (d *Directory) replaceEvacuations(at topicPosition, next map[string]state.Evacuation, from string) {
+	restored := at.Incarnation > d.evacuations.at.Incarnation
+	d.evacuations.at = at
+	if restored || d.evacuations.keptUntil == 0 {
+		d.evacuations.keptUntil = 0
+		for _, e := range next {
+			if e.Incarnation < at.Incarnation {
 				d.evacuations.keptUntil = boottime.Now().Add(configTrustDelay)
 			}
 		}
 	}
-	d.evacuations.at = at
 	d.putEvacuations(next, from)
 }
 
