--- a/coldstart/tracker.go
+++ b/coldstart/tracker.go
@@ -125,6 +125,14 @@
 	}
 }
 
+// SaysCold reports whether the instance has said that it is cold now, whatever the
+// cold start of its service.
+func (t *Tracker) SaysCold(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.coldUntil)
+}
+
 func clamp(remaining time.Duration) time.Duration { return min(remaining, maxRemaining) }
 
 // NeedsCheck reports whether a health check is wanted. An instance that hasn't answered
--- a/coldstart/tracker_test.go
+++ b/coldstart/tracker_test.go
@@ -119,6 +119,19 @@
 	wantPhase(t, tr, 13*time.Second, PhaseWarm)
 }
 
+// Guards against full load for a cold instance while its node has no configuration,
+// and so no policy.
+func TestSaysColdWithoutPolicy(t *testing.T) {
+	tr := New(start)
+	if tr.SaysCold(start) {
+		t.Error("an instance that has said nothing is taken for cold")
+	}
+	tr.Heartbeat(start, first, 2*time.Second)
+	if !tr.SaysCold(at(1900*time.Millisecond)) || tr.SaysCold(at(2*time.Second)) {
+		t.Error("the cold time in the heartbeat isn't kept")
+	}
+}
+
 // Guards against a sign that often has other causes than a restart limiting a warm
 // instance, and against the check that it asks for being left out.
 func TestRequestedCheckDoesNotLimit(t *testing.T) {
