graph: calls that wait at the owner don't start once its failure domain is evacuated

A call could wait for most of its time left, beyond the time in which an evacuation has to be in force (TestCallsWaitingInEvacuatedDomainDoNotStart).

--- a/admission/graph/owner.go
+++ b/admission/graph/owner.go
@@ -37,10 +37,9 @@
 	p.mu.Lock()
 	p.fanout.RunStarted(c.RouteName)
 	p.mu.Unlock()
-	// The instance may have started to drain while the call waited.
-	if p.host.Snapshot().Members[p.host.Self.ID].Draining {
+	if r := p.refuseAfterWait(); r != nil {
 		p.release(c, t, Completion{})
-		return kernel.Refuse(kernel.ReasonDraining, "the instance is draining", 0)
+		return r
 	}
 	r := next.Serve(ctx, c)
 	completion := Completion{
@@ -98,6 +97,19 @@
 	return !p.gate.Cancel(t) && t.state == stateRunning
 }
 
+// refuseAfterWait returns a refusal if the instance has started to drain, or its failure
+// domain has been evacuated, while the call waited; else nil.
+func (p *Plugin) refuseAfterWait() *kernel.Result {
+	s := p.host.Snapshot()
+	switch {
+	case s.Evacuated(p.host.Self.Domain):
+		return kernel.Refuse(kernel.ReasonEvacuated, "the failure domain was evacuated while the call waited", 0)
+	case s.Members[p.host.Self.ID].Draining:
+		return kernel.Refuse(kernel.ReasonDraining, "the instance is draining", 0)
+	}
+	return nil
+}
+
 func (p *Plugin) release(c *kernel.Call, t *Ticket, completion Completion) {
 	now := p.host.Now()
 	p.mu.Lock()
@@ -110,6 +122,9 @@
 	if ctx.Err() != nil {
 		return kernel.Refuse(kernel.ReasonCancelled, "the caller disconnected while the call waited", 0)
 	}
+	if r := p.refuseAfterWait(); r != nil && r.Reason == kernel.ReasonEvacuated {
+		return r
+	}
 	now := p.host.Now()
 	p.mu.Lock()
 	detail := fmt.Sprintf("no slot at the instance in time: %d of %d in use, %d calls wait for %d ms of work, rate limit %g",
--- a/admission/graph/plugin.go
+++ b/admission/graph/plugin.go
@@ -122,7 +122,7 @@
 	self := s.Members[p.host.Self.ID]
 	p.gate.SetSlots(self.Slots)
 	p.gate.SetRateLimit(now, p.host.InstanceRateLimit())
-	if self.Draining {
+	if self.Draining || s.Evacuated(p.host.Self.Domain) {
 		p.gate.Flush()
 	}
 	p.gate.dispatch(now)
