sidecar: the instance is unknown with the first call after an evacuation

It became unknown at the next tick, so that up to 50 ms of full load reached a cold instance (TestInstancesAreColdAfterEvacuation: 20 requests in a second, the bound is 19).

--- a/sidecar/coldstart.go
+++ b/sidecar/coldstart.go
@@ -30,15 +30,25 @@
 	return cold
 }
 
-// followColdStart makes the instance unknown when the evacuation of the failure domain
-// has ended, and logs a change of its phase.
-func (n *Node) followColdStart(now time.Time) {
-	policy := n.coldStartPolicy()
+// followEvacuation reports whether the failure domain is evacuated. It makes the instance
+// unknown when the evacuation has ended, before a call can be sent.
+func (n *Node) followEvacuation() bool {
 	evacuated := n.Snapshot().Evacuated(n.settings.Domain)
-	if n.wasEvacuated.Swap(evacuated) && !evacuated {
-		n.coldStart.SetUnknown(now)
+	if was := n.wasEvacuated.Load(); was == evacuated {
+		return evacuated
+	}
+	if !evacuated {
+		n.coldStart.SetUnknown(n.host.Now())
 		n.wantHealthCheck()
 	}
+	n.wasEvacuated.Store(evacuated)
+	return evacuated
+}
+
+// followColdStart logs a change of the instance's phase.
+func (n *Node) followColdStart(now time.Time) {
+	n.followEvacuation()
+	policy := n.coldStartPolicy()
 	phase, rate := n.coldStart.Rate(now, policy)
 	if former := coldstart.Phase(n.coldPhase.Swap(uint32(phase))); former != phase {
 		n.log.Info("cold start of the instance", "instance", n.Instance().ID, "phase", phase.String(), "before", former.String(),
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -92,7 +92,7 @@
 	selfReport       *selfreport.Tracker
 	coldStart        *coldstart.Tracker
 	coldPhase        atomic.Uint32 // coldstart.Phase logged last
-	wasEvacuated     atomic.Bool   // the failure domain, at the latest tick
+	wasEvacuated     atomic.Bool   // the failure domain, when followEvacuation ran last
 	reportLog        *selfreport.Log
 	cancelBackground context.CancelFunc
 	background       sync.WaitGroup
@@ -322,15 +322,15 @@
 // refuseAtOwner returns a refusal if the call must not be sent to the instance,
 // else nil.
 func (n *Node) refuseAtOwner(c *kernel.Call) *kernel.Result {
-	i, s := n.instance.Load(), n.Snapshot()
+	i := n.instance.Load()
 	switch {
 	case c.Service != n.settings.Service:
 		return kernel.Refuse(kernel.ReasonNoUpstream, "the node is not beside an instance of "+c.Service, 0)
 	case !i.Present:
 		return kernel.Refuse(kernel.ReasonNoUpstream, "no instance is beside the node", 0)
-	case s.Evacuated(n.settings.Domain):
+	case n.followEvacuation():
 		return kernel.Refuse(kernel.ReasonEvacuated, "the failure domain is evacuated", 0)
-	case s.Config == nil && n.coldStart.SaysCold(n.host.Now()):
+	case n.Snapshot().Config == nil && n.coldStart.SaysCold(n.host.Now()):
 		// The configuration has the rate that a cold instance bears.
 		return kernel.Refuse(kernel.ReasonNotReady, "the instance is cold and no configuration is in force yet", 0)
 	case i.Draining || n.stopping.Load():
