--- a/cmd/gooseberryctl/nodes.go
+++ b/cmd/gooseberryctl/nodes.go
@@ -17,7 +17,10 @@
 each: the version of the configuration and the time since it was last confirmed,
 the number of members, and the incarnation of the store with the time since the
 node learned it. If the incarnations differ, some nodes have not yet learned
-that the store was restored from a backup. ADDRESS is a node's metrics address.`
+that the store was restored from a backup. INSTANCE is the cold start of the
+instance beside the node: warm, unknown, cold or ramp; "evacuated" is added while
+its failure domain is. EVACUATED is the number of evacuated failure domains that
+the node knows of. ADDRESS is a node's metrics address.`
 
 const (
 	// maxMetricsBytes bounds the size of a node's response.
@@ -36,6 +39,10 @@
 	Members          int    `json:"members"`
 	Incarnation      uint64 `json:"store_incarnation"`
 	IncarnationAgeMS int64  `json:"store_incarnation_age_ms"`
+	// ColdPhase is the cold start of the instance; empty if the node doesn't tell it.
+	ColdPhase        string `json:"instance_cold_phase"`
+	Evacuated        bool   `json:"instance_evacuated"`
+	EvacuatedDomains int    `json:"evacuated_domains"`
 	// Error is the reason why the node's metrics could not be read.
 	Error string `json:"error,omitempty"`
 }
@@ -76,18 +83,30 @@
 		return a.writeJSON(views)
 	}
 	w := tabwriter.NewWriter(a.stdout, 0, 0, columnPadding, ' ', 0)
-	fmt.Fprintln(w, "NODE\tVERSION\tAGE\tMEMBERS\tINCARNATION\tSINCE")
+	fmt.Fprintln(w, "NODE\tVERSION\tAGE\tMEMBERS\tINCARNATION\tSINCE\tINSTANCE\tEVACUATED")
 	for _, b := range views {
 		if b.Error != "" {
 			fmt.Fprintf(w, "%s\t%s\n", b.Address, b.Error)
 			continue
 		}
-		fmt.Fprintf(w, "%s\t%d\t%s\t%d\t%d\t%s\n", b.Address, b.Version, milliseconds(b.ConfigAgeMS), b.Members,
-			b.Incarnation, milliseconds(b.IncarnationAgeMS))
+		fmt.Fprintf(w, "%s\t%d\t%s\t%d\t%d\t%s\t%s\t%d\n", b.Address, b.Version, milliseconds(b.ConfigAgeMS), b.Members,
+			b.Incarnation, milliseconds(b.IncarnationAgeMS), b.instanceState(), b.EvacuatedDomains)
 	}
 	return w.Flush()
 }
 
+// instanceState describes the instance beside the node; "-" if the node doesn't tell.
+func (b *nodeView) instanceState() string {
+	state := b.ColdPhase
+	if state == "" {
+		state = "-"
+	}
+	if b.Evacuated {
+		state += " evacuated"
+	}
+	return state
+}
+
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func readNodeView(ctx context.Context, address string) nodeView {
--- a/cmd/gooseberryctl/nodes_test.go
+++ b/cmd/gooseberryctl/nodes_test.go
@@ -46,3 +46,32 @@
 		t.Errorf("no address: exit code %d, want a usage error", code)
 	}
 }
+
+// Guards against the cold start of an instance and evacuations not being shown, and
+// against an unreadable line for nodes of builds that don't tell them.
+func TestNodesShowsColdStartsAndEvacuations(t *testing.T) {
+	for _, c := range []struct{ metrics, line, state string }{
+		{`{"instance_cold_phase":"cold","instance_evacuated":false,"evacuated_domains":1}`, "cold  ", "cold"},
+		{`{"instance_cold_phase":"unknown","instance_evacuated":true,"evacuated_domains":1}`, "unknown evacuated  1", "unknown"},
+		{`{"instance_cold_phase":"warm","instance_evacuated":false,"evacuated_domains":0}`, "warm  ", "warm"},
+		{`{"config_version":9}`, "-  ", ""},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, c.metrics) }))
+		t.Cleanup(server.Close)
+		run := func(args ...string) string {
+			var out, errs bytes.Buffer
+			args = append(append([]string{"nodes"}, args...), strings.TrimPrefix(server.URL, "http://"))
+			if code := newApp(&out, &errs).run(t.Context(), args); code != exitOK {
+				t.Errorf("%s: code %d, %s", c.metrics, code, errs.String())
+			}
+			return out.String()
+		}
+		if text := run(); !strings.Contains(text, c.line) || !strings.Contains(text, "EVACUATED") {
+			t.Errorf("%s: %q is not in:\n%s", c.metrics, c.line, text)
+		}
+		var views []nodeView
+		if err := json.Unmarshal([]byte(run("--json")), &views); err != nil || views[0].ColdPhase != c.state {
+			t.Errorf("%s: %v, views %+v", c.metrics, err, views)
+		}
+	}
+}
