--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -102,6 +102,19 @@
 			h.sent["r2"] = &later
 			h.runs = append(h.runs, run{ID: "r2", At: later.At, Node: 1, Instance: "i1", Service: "status", Customer: "farm", Origin: "maps"})
 		}},
+		{"cold", func(h *history, _ *sentRequest, at time.Time) { h.recordOverload(overload{1, 20, at}) }},
+		{"evacuated", func(h *history, _ *sentRequest, at time.Time) {
+			h.domains = []string{"a", "b"}
+			h.evacuations = []evacuation{{"b", interval{at, at.Add(9 * time.Second)}}}
+			h.outages[0] = []interval{{at, at.Add(9 * time.Second)}}
+			h.nodeArrivals[1] = []time.Time{at.Add(6 * time.Second)}
+		}},
+		{"", func(h *history, _ *sentRequest, at time.Time) {
+			h.domains = []string{"a", "b"}
+			h.evacuations = []evacuation{{"b", interval{at, at.Add(9 * time.Second)}}}
+			h.nodeArrivals[0] = []time.Time{at.Add(6 * time.Second)}
+			h.nodeArrivals[1] = []time.Time{at.Add(5 * time.Second), at.Add(10 * time.Second)}
+		}},
 		{"budget", func(h *history, s *sentRequest, _ time.Time) {
 			for range retrySlack + 2 {
 				h.repeatArrivals["status"] = append(h.repeatArrivals["status"], s.At)
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -18,7 +18,8 @@
 // and reassigns partitions. Instances lose, truncate or duplicate responses, send
 // endless ones, reject requests, also before the body has arrived, hang, drain
 // and are replaced; they name rate limits, odd ones too, and say in responses only
-// that they leave, while the nodes beside them are killed and stopped in turn. Some callers pipeline requests or close their connection
+// that they leave, while the nodes beside them are killed and stopped in turn. They end
+// and come back cold, and replaced ones are cold. The operator evacuates failure domains. Some callers pipeline requests or close their connection
 // early. Faults overlap.
 //
 // # Checks
@@ -28,7 +29,8 @@
 // no API key. A draining instance gets nothing new. A configuration comes into
 // force in time and is never rolled back. An instance that names a rate limit gets no
 // more than it allows, also across restarts, and one that says that it leaves gets
-// nothing new. A withdrawn key stops working on every
+// nothing new. A cold instance gets no more than it bears in any second, and an
+// evacuated failure domain nothing after the time allowed. A withdrawn key stops working on every
 // node. The fleet keeps a customer's rate and the retry budget. A planned stop
 // loses nothing. The fleet serves again when the faults end. Each check has a
 // test in which it fails.
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -58,7 +58,7 @@
 		"answers-lost", "answers-short", "answers-extra", "rejects", "leave", "change", "storm", "withdraw", "withdraw",
 	}
 	allKinds = append(slices.Clone(originalKinds), "answers-early", "silence", "answers-endless", "store-endless", "store-restored",
-		"limit", "limit-restarts", "limit-odd", "leave-in-answers")
+		"limit", "limit-restarts", "limit-odd", "leave-in-answers", "cold-return", "cold-return", "evacuate")
 )
 
 // drawSchedule draws the events of a run.
@@ -85,10 +85,19 @@
 	storeMu     sync.Mutex
 	storeFaults standin.Faults
 	configMu    sync.Mutex
+	evacuateMu  map[string]*sync.Mutex // by failure domain
+	evacuated   map[string]bool        // by failure domain, guarded by configMu
 }
 
 func newFaultInjector(f *fleet) *faultInjector {
-	return &faultInjector{f: f, processMu: make([]sync.Mutex, len(f.nodes)), limitMu: make([]sync.Mutex, len(f.nodes))}
+	x := &faultInjector{
+		f: f, processMu: make([]sync.Mutex, len(f.nodes)), limitMu: make([]sync.Mutex, len(f.nodes)),
+		evacuateMu: map[string]*sync.Mutex{}, evacuated: map[string]bool{},
+	}
+	for _, n := range f.nodes {
+		x.evacuateMu[n.domain] = &sync.Mutex{}
+	}
+	return x
 }
 
 // runSchedule injects all events and returns when the last one is over.
@@ -164,6 +173,10 @@
 		x.nameOddLimits(e, n)
 	case "leave-in-answers":
 		x.leaveInAnswers(e, n)
+	case "cold-return":
+		x.restartInstance(e, n)
+	case "evacuate":
+		x.evacuate(e, n)
 	default:
 		x.changeConfig(e)
 	}
@@ -190,7 +203,7 @@
 			time.Sleep(e.duration)
 			n.Signal(syscall.SIGCONT)
 		}
-		x.recordFault(e.node, from, time.Now())
+		x.recordOutage(e.node, from, time.Now())
 	case "stop":
 		x.plannedStop(e, n, from)
 	default:
@@ -264,12 +277,12 @@
 	toggle(true)
 	time.Sleep(e.duration)
 	toggle(false)
-	x.recordFault(-1, from, time.Now())
+	x.recordOutage(-1, from, time.Now())
 }
 
 // restoreStore takes the store down for a moment and restores it from a backup
 // whose age is the event's duration. The operator then rewrites the latest
-// configuration version.
+// configuration version and the evacuations.
 func (x *faultInjector) restoreStore(e event) {
 	x.configMu.Lock()
 	defer x.configMu.Unlock()
@@ -280,7 +293,8 @@
 	x.updateStoreFaults(func(f *standin.Faults) { f.Down = false })
 	time.Sleep(rewriteDelay)
 	x.f.writeConfig(int(x.f.version.Load()))
-	x.recordFault(-1, from, time.Now())
+	x.writeEvacuations()
+	x.recordOutage(-1, from, time.Now())
 }
 
 func (x *faultInjector) updateStoreFaults(update func(*standin.Faults)) {
@@ -295,7 +309,7 @@
 	p.SetFaults(f, directions...)
 	time.Sleep(e.duration)
 	p.SetFaults(faultproxy.Faults{}, directions...)
-	x.recordFault(-1, from, time.Now())
+	x.recordOutage(-1, from, time.Now())
 }
 
 func (x *faultInjector) injectInstanceFault(e event, n *node, f standin.Fault) {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -110,13 +110,15 @@
 		places = append(places, placements...)
 	}
 	services := make([]string, len(places))
+	domains := make([]string, len(places))
 	for i, p := range places {
-		services[i] = p.service
+		services[i], domains[i] = p.service, p.domain
 	}
 	f := &fleet{
 		t: t, options: o, rng: rand.New(rand.NewPCG(seed, 0)), history: newHistory(services),
 		store: standin.NewStore(partitions), keys: map[string]string{},
 	}
+	f.history.domains = domains
 	f.history.rate, f.history.burst = float64(o.rate), float64(o.rate)
 	f.server = httptest.NewServer(f.store)
 	t.Cleanup(f.close)
@@ -148,7 +150,9 @@
 	n.currentID = "i-" + n.name
 	n.instance = &standin.Instance{
 		ID: n.currentID, Service: p.service, Slots: slots, Work: f.options.serviceTime, Faults: n.drawFault,
-		OnArrival: func(id, service string) { f.history.recordArrival(id, service, n.instanceID()) },
+		ColdPerS: coldPerS, ColdFor: coldFor,
+		OnArrival:  func(id, service string) { f.history.recordArrival(id, service, n.instanceID(), index) },
+		OnOverload: func(arrivals int) { f.history.recordOverload(overload{index, arrivals, time.Now()}) },
 		OnRun: func(r standin.Run) {
 			f.history.recordRun(run{
 				ID: r.ID, At: r.At, Node: index, Instance: n.instanceID(), Service: r.Service, Customer: r.Customer,
@@ -231,8 +235,10 @@
 	return n.instance.SendHeartbeat(heartbeatSeq, instanceStarted)
 }
 
-// replaceInstance starts a new instance at the address of the previous one.
+// replaceInstance starts a new instance, which is cold, at the address of the previous
+// one.
 func (n *node) replaceInstance(id string) {
+	n.instance.BecomeCold(coldFor)
 	n.mu.Lock()
 	n.currentID, n.instanceStarted, n.heartbeatSeq = id, time.Now(), 0
 	n.mu.Unlock()
@@ -287,13 +293,15 @@
 	for name, keys := range keysByCustomer {
 		customers = append(customers, standin.Customer{Name: name, Keys: keys, Rate: f.options.rate})
 	}
-	rules := []standin.Rule{
-		{Name: "maps", Host: "app.example", Prefix: "/maps/", Service: "maps", Kind: "safe"},
+	rules := []standin.Rule{{Name: "maps", Host: "app.example", Prefix: "/maps/", Service: "maps", Kind: "safe"},
 		{Name: "book", Host: "app.example", Prefix: "/book/", Service: "maps", Kind: "non_idempotent"},
 		{Name: "look", Host: "app.example", Prefix: "/look/", Service: "status", Kind: "safe"},
 		{Name: fmt.Sprint("v", version), Host: "app.example", Prefix: fmt.Sprintf("/v%d/", version), Service: "status", Kind: "safe"},
 		{Name: "status", Host: "in.example", Prefix: "/status/", Service: "status", Kind: "safe", Public: true},
 	}
+	for i := range rules {
+		rules[i].ColdFor, rules[i].ColdPerS = coldFor, coldPerS
+	}
 	if err := f.store.PutConfig(version, customers, rules); err != nil {
 		f.t.Error(err)
 		return nil, false
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -112,6 +112,10 @@
 	seenIDs        map[string]bool
 	arrivals       map[string][]arrival // instance -> requests that arrived there
 	limits         []namedLimit
+	nodeArrivals   map[int][]time.Time // requests that arrived at the instance beside a node
+	overloads      []overload
+	evacuations    []evacuation
+	outages        map[int][]interval // faults that keep a node, or for -1 any, from learning of changes
 	drains         []acknowledgedDrain
 	changes        []configChange
 	fleetFaults    []interval         // faults of the store, of links or of instances
@@ -120,12 +124,14 @@
 	rate           float64
 	burst          float64
 	services       []string // by node
+	domains        []string // by node
 }
 
 func newHistory(services []string) *history {
 	return &history{
 		sent: map[string]*sentRequest{}, repeatArrivals: map[string][]time.Time{}, firstArrivals: map[string][]time.Time{},
 		seenIDs: map[string]bool{}, arrivals: map[string][]arrival{},
+		nodeArrivals: map[int][]time.Time{}, outages: map[int][]interval{},
 		nodeFaults: map[int][]interval{}, plannedStops: map[int][]interval{}, services: services,
 	}
 }
@@ -149,9 +155,10 @@
 	h.runs = append(h.runs, r)
 }
 
-func (h *history) recordArrival(id, service, instance string) {
+func (h *history) recordArrival(id, service, instance string, node int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.nodeArrivals[node] = append(h.nodeArrivals[node], time.Now())
 	h.arrivals[instance] = append(h.arrivals[instance], arrival{id, time.Now()})
 	if h.seenIDs[id] {
 		h.repeatArrivals[service] = append(h.repeatArrivals[service], time.Now())
@@ -177,6 +184,9 @@
 //     allows
 //   - leaving: an instance that says in its responses that it leaves gets no new
 //     requests from nodes that have passed on such a response
+//   - cold: a cold instance gets no more in any second than it bears
+//   - evacuated: nothing reaches an instance of an evacuated failure domain later than
+//     allowed
 //   - stop: a planned stop loses no response
 //   - config: a version takes effect and is replaced within configApply
 //   - back: a process does not go back to an older version
@@ -207,6 +217,8 @@
 	h.checkConfigVersions(report)
 	h.checkLimits(report)
 	h.checkLeaving(report)
+	h.checkCold(report)
+	h.checkEvacuations(report)
 	h.checkRate(report)
 	h.checkRetries(report)
 	return violations
--- a/soak/mechanisms_test.go
+++ b/soak/mechanisms_test.go
@@ -32,6 +32,9 @@
 		{"no pacing at the owner", "limit", func(o *options) {
 			o.plugins = `["auth", "quarantine", "quota", "retry", "routing"]`
 		}, []event{{kind: "limit", node: 0, duration: 4 * time.Second}, {kind: "limit", node: 1, duration: 4 * time.Second}}},
+		{"no pacing beside cold instances", "cold", func(o *options) {
+			o.plugins = `["auth", "quarantine", "quota", "retry", "routing"]`
+		}, []event{{kind: "cold-return", node: 0, duration: coldFor}, {kind: "cold-return", node: 1, duration: coldFor}}},
 		{"withdrawn keys stay valid", "revoked", func(o *options) { o.keyWithdrawal = time.Hour }, []event{
 			cutStore(0), cutStore(1), cutStore(2), cutStore(3), cutStore(4), cutStore(5), {kind: "withdraw", start: time.Second},
 		}},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -51,9 +51,7 @@
 					kinds = originalKinds
 				}
 				events := drawSchedule(rand.New(rand.NewPCG(seed, 0)), kinds, *copies*len(placements), *copies*faultCount, scheduleLength)
-				for name, violations := range runSchedule(t, seed, defaultOptions(), events) {
-					t.Errorf("check %s: %d violations, starting with:\n%s", name, len(violations), strings.Join(violations[:min(maxShownViolations, len(violations))], "\n"))
-				}
+				reportViolations(t, runSchedule(t, seed, defaultOptions(), events))
 				if t.Failed() {
 					for _, e := range events {
 						t.Log(e)
@@ -64,6 +62,13 @@
 	})
 }
 
+func reportViolations(t *testing.T, byCheck map[string][]string) {
+	t.Helper()
+	for name, violations := range byCheck {
+		t.Errorf("check %s: %d violations, starting with:\n%s", name, len(violations), strings.Join(violations[:min(maxShownViolations, len(violations))], "\n"))
+	}
+}
+
 // runSchedule runs a fleet under a schedule of faults and returns the violations
 // by check name. It adds three checks to those of the history:
 //
@@ -174,9 +179,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			events := append([]event{restore(time.Second), restore(6 * time.Second)}, concurrent...)
-			for check, violations := range runSchedule(t, 1, defaultOptions(), events) {
-				t.Errorf("check %s: %d violations, starting with:\n%s", check, len(violations), strings.Join(violations[:min(maxShownViolations, len(violations))], "\n"))
-			}
+			reportViolations(t, runSchedule(t, 1, defaultOptions(), events))
 		})
 	}
 }
@@ -197,9 +200,7 @@
 	for name, events := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			for check, violations := range runSchedule(t, 1, defaultOptions(), events) {
-				t.Errorf("check %s: %d violations, starting with:\n%s", check, len(violations), strings.Join(violations[:min(maxShownViolations, len(violations))], "\n"))
-			}
+			reportViolations(t, runSchedule(t, 1, defaultOptions(), events))
 		})
 	}
 }
