--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -94,7 +94,7 @@
 	selfReport       *selfreport.Tracker
 	coldStart        *coldstart.Tracker
 	coldPhase        atomic.Uint32 // coldstart.Phase logged last
-	wasEvacuated     atomic.Bool   // the failure domain, at the latest tick
+	wasEvacuated     atomic.Bool   // the failure domain, when followEvacuation ran last
 	reportLog        *selfreport.Log
 	cancelBackground context.CancelFunc
 	background       sync.WaitGroup
@@ -332,8 +332,11 @@
 		return kernel.Refuse(kernel.ReasonNoUpstream, "the node is not beside an instance of "+c.Service, 0)
 	case !i.Present:
 		return kernel.Refuse(kernel.ReasonNoUpstream, "no instance is beside the node", 0)
-	case n.Snapshot().Evacuated(n.settings.Domain):
+	case n.followEvacuation():
 		return kernel.Refuse(kernel.ReasonEvacuated, "the failure domain is evacuated", 0)
+	case n.Snapshot().Config == nil && n.coldStart.SaysCold(n.host.Now()):
+		// The configuration has the rate that a cold instance bears.
+		return kernel.Refuse(kernel.ReasonNotReady, "the instance is cold and no configuration is in force yet", 0)
 	case i.Draining || n.stopping.Load():
 		r := kernel.Refuse(kernel.ReasonDraining, "the instance is leaving", 0)
 		r.Load = &kernel.Load{Draining: true}
