fairshare: evaluate the limits of customers from precomputed terms; order of demands is fixed

Customers without requests in the window are removed while a meter is more than half full: with 10,000 customers, the demand in the window was that of more customers than were followed, and 8% too little was admitted for some seconds.

--- a/admission/fairshare/demand.go
+++ b/admission/fairshare/demand.go
@@ -92,6 +92,8 @@
 // adds the others to rest. It reorders demands.
 func Summarize(demands []Demand, rest Demand, n int) ([]Demand, Demand) {
 	if len(demands) <= n {
+		// The order of a Meter's demands varies, and so would rounding errors.
+		slices.SortFunc(demands, func(a, b Demand) int { return cmp.Compare(a.Customer, b.Customer) })
 		return demands, rest
 	}
 	slices.SortFunc(demands, func(a, b Demand) int {
--- a/admission/fairshare/divide.go
+++ b/admission/fairshare/divide.go
@@ -33,43 +33,49 @@
 	level = max(level, 0)
 	band := min(int(level), config.PriorityCount-1)
 	s := &Shares{band: band, fraction: min(level-float64(band), 1), customers: make(map[string]float64, len(demands))}
-	total := rest.Load[band]
+	claims := make([]claim, 0, len(demands)+1)
+	claims = append(claims, newClaim(&rest, band))
 	for i := range demands {
-		total += demands[i].Load[band]
+		claims = append(claims, newClaim(&demands[i], band))
+	}
+	total := 0.0
+	for i := range claims {
+		total += claims[i].load
 	}
 	target := s.fraction * total
-	share := findShare(demands, &rest, band, target)
+	share := findShare(claims, target)
 	// Without any share, customers keep what noise explains, which may be more than
 	// the level admits.
 	scale := 1.0
-	if sum := admittedLoad(demands, &rest, band, share); sum > target && sum > 0 {
+	if sum := admittedLoad(claims, share); sum > target && sum > 0 {
 		scale = target / sum
 	}
-	for i := range demands {
-		s.customers[demands[i].Customer] = scale * demands[i].admittedFraction(band, share)
-	}
-	s.others = scale * rest.admittedFraction(band, share)
+	s.others = scale * claims[0].fraction(share)
 	if total <= 0 {
 		s.others = s.fraction
 	}
+	for i := range demands {
+		s.customers[demands[i].Customer] = scale * claims[i+1].fraction(share)
+	}
 	return s
 }
 
 // findShare returns the load for each unit of weight at which the customers together
 // are admitted with the target load. It returns zero if they are admitted with more even
 // then.
-func findShare(demands []Demand, rest *Demand, band int, target float64) float64 {
-	highest := rest.Total() / max(rest.Weight, minWeight)
-	for i := range demands {
-		highest = max(highest, demands[i].Total()/max(demands[i].Weight, minWeight))
+func findShare(claims []claim, target float64) float64 {
+	highest := 0.0
+	for i := range claims {
+		c := &claims[i]
+		highest = max(highest, (c.urgent+c.load)/c.weight)
 	}
-	if admittedLoad(demands, rest, band, highest) <= target {
+	if admittedLoad(claims, highest) <= target {
 		return highest
 	}
 	lowest := 0.0
 	for range searchSteps {
 		middle := (lowest + highest) / 2
-		if admittedLoad(demands, rest, band, middle) > target {
+		if admittedLoad(claims, middle) > target {
 			highest = middle
 		} else {
 			lowest = middle
@@ -78,35 +84,47 @@
 	return lowest
 }
 
-func admittedLoad(demands []Demand, rest *Demand, band int, share float64) float64 {
-	sum := rest.Load[band] * rest.admittedFraction(band, share)
-	for i := range demands {
-		sum += demands[i].Load[band] * demands[i].admittedFraction(band, share)
+func admittedLoad(claims []claim, share float64) float64 {
+	sum := 0.0
+	for i := range claims {
+		sum += claims[i].load * claims[i].fraction(share)
 	}
 	return sum
 }
 
-// admittedFraction returns the fraction of the band's load that is admitted. share is
-// the load for each unit of weight.
-func (d *Demand) admittedFraction(band int, share float64) float64 {
-	load := d.Load[band]
-	if load <= 0 {
-		return 1
+// claim is a demand as seen from one band.
+type claim struct {
+	load, urgent float64 // of the band and of more urgent bands
+	weight       float64
+	unit         float64 // load of one request in the window
+	rootUnit     float64
+}
+
+func newClaim(d *Demand, band int) claim {
+	c := claim{load: d.Load[band], weight: max(d.Weight, minWeight), unit: d.unit()}
+	for _, load := range d.Load[:band] {
+		c.urgent += load
 	}
-	urgent := 0.0
-	for _, l := range d.Load[:band] {
-		urgent += l
+	c.rootUnit = math.Sqrt(c.unit)
+	return c
+}
+
+// fraction returns the fraction of the band's load that is admitted. share is the load
+// for each unit of weight.
+func (c *claim) fraction(share float64) float64 {
+	limit := share * c.weight
+	total := c.urgent + c.load
+	if total <= limit || c.load <= 0 {
+		return 1
 	}
-	unit := d.unit()
-	limit := share * max(d.Weight, minWeight)
 	// The noise is granted in full up to one noise above the share and withdrawn
 	// until two above it, so that a customer clearly beyond its share gets no more
 	// than the share.
-	noise := unit + noiseStdErrors*math.Sqrt(limit*unit)
-	if noise > 0 {
-		limit += noise * min(max(2-(urgent+load-limit)/noise, 0), 1)
+	noise := c.unit + noiseStdErrors*math.Sqrt(limit)*c.rootUnit
+	if excess := total - limit; excess < 2*noise {
+		limit += min(noise, 2*noise-excess)
 	}
-	return min(max(limit-urgent, 0)/load, 1)
+	return min(max(limit-c.urgent, 0)/c.load, 1)
 }
 
 // Fraction returns the fraction of a customer's requests in the band that is admitted.
--- a/admission/fairshare/meter.go
+++ b/admission/fairshare/meter.go
@@ -17,7 +17,8 @@
 	maxCustomers = 1024
 	maxRoutes    = 256
 	// expirySlots is the number of slots after which a customer without requests is
-	// removed.
+	// removed. While the meter is more than half full, customers without requests in
+	// the window are removed, so that there is room for those that have some.
 	expirySlots = 150
 )
 
@@ -111,6 +112,7 @@
 	}
 	m.current = (m.current + 1) % slotCount
 	m.slotStart[m.current] = now
+	crowded := len(m.customers) > maxCustomers/2
 	for name, c := range m.customers {
 		c.offered.reuse(m.current)
 		c.admitted.reuse(m.current)
@@ -121,7 +123,7 @@
 		if c.offered.total > 0 {
 			c.idleSlots = 0
 		}
-		if c.idleSlots > expirySlots {
+		if c.idleSlots > expirySlots || crowded && c.idleSlots > 0 {
 			delete(m.customers, name)
 		}
 	}
