--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -149,6 +149,7 @@
 	n.owner = n.plugins.Owner(exchange)
 	network.Handle(kindCall, n.receiveCall)
 	n.metrics.registerGauges(n)
+	n.plugins.PublishMetrics(n.Publish)
 	return n, nil
 }
 
