graph: customers get weighted max-min fair shares of overloaded services

Entry nodes tell the demand of their customers to a collector at the overloaded service, in optional fields of the notices; collectors tell the sums to all. Ranks are drawn as before without rates and while all levels are at the top.

--- a/admission/graph/doc.go
+++ b/admission/graph/doc.go
@@ -49,8 +49,25 @@
 // plus a random part below one, so requests of equal priority are shed in
 // proportion. Nested calls are not refused at the entry.
 //
+// # Entry: shares of customers
+//
+// If the configuration gives customers rates, the random part depends on the customer
+// while a level is below the top (package fairshare): requests of customers within their
+// weighted max-min fair share of the service get the part of the band below the level,
+// those of others only in proportion share/demand. The admitted load is the same.
+//
+// A node is offered too few requests to tell customers apart, and a customer may enter at
+// one failure domain only. So each entry node reports its customers' demand on an
+// overloaded service to one of the nodes that send notices of that service, the
+// collector, in its failure domain if possible. Collectors add the sum to their notices,
+// and every node adds up the sums. A node that is not reached by the sum that contains its
+// own demand adds what it has measured itself.
+//
 // # Limits
 //
-// A level older than levelTTL is ignored. A node whose level is below the top
-// sends one message per notice interval to each other node.
+// A level older than levelTTL is ignored, demand older than demandTTL as well. A node
+// whose level is below the top sends one message per notice interval to each other node,
+// and every node sends one per report interval for each overloaded service. Messages name
+// a bounded number of customers. Shares are as exact as the fan-out, whose numbers
+// are announced only when the called routes change.
 package graph
--- a/admission/graph/fanout.go
+++ b/admission/graph/fanout.go
@@ -306,8 +306,8 @@
 }
 
 // Changed reports whether the called routes differ from those announced last. A
-// change of the numbers alone is not announced because admission only uses
-// which services a tree reaches.
+// change of the numbers alone is not announced: admission depends on which services a
+// tree reaches, and only the shares of customers on the numbers.
 func (e *FanoutEstimator) Changed() bool {
 	for route, calls := range e.estimates {
 		if !e.sufficientData(route) {
--- a/admission/graph/plugin.go
+++ b/admission/graph/plugin.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/gooseberryflow/gooseberryflow/admission/fairshare"
 	"github.com/gooseberryflow/gooseberryflow/config"
 	"github.com/gooseberryflow/gooseberryflow/kernel"
 	"github.com/gooseberryflow/gooseberryflow/state"
@@ -87,6 +89,7 @@
 	reachableServices map[string][]string
 	// serviceLevels caches the level of each service for one tick.
 	serviceLevels map[string]serviceLevel
+	fair          *fairness
 	// levelLoggedAt is when a level below top was logged last; zero while the
 	// level admits all ranks.
 	levelLoggedAt time.Time
@@ -102,6 +105,7 @@
 	p.levelTable = newLevelTable()
 	p.services = map[string]string{}
 	p.serviceLevels = map[string]serviceLevel{}
+	p.fair = newFairness(h.Now())
 	p.top = config.PriorityCount
 	h.Peers.Handle(kindNotice, p.onNotice)
 	return nil
@@ -144,12 +148,13 @@
 	}
 	noticeDue := (n.Level >= 0 || n.Capacity > 0) && p.ticks%noticeInterval(len(s.Members)) == 0
 	if noticeDue {
+		p.attachCollected(&n, s, now)
 		p.levelTable.record(n, now)
 	}
 	if p.ticks%expireTicks == 0 {
 		p.levelTable.expire(now)
 	}
-	clear(p.serviceLevels)
+	reports := p.updateFairness(s, now)
 	fanout := p.dueFanout(s)
 	p.mu.Unlock()
 	for _, t := range unanswered {
@@ -158,6 +163,7 @@
 	if noticeDue {
 		p.sendNotices(s, n)
 	}
+	p.sendReports(n, reports)
 	if fanout != nil {
 		p.host.Log.Info("needs learnt", "needs", fanout)
 		p.host.AnnounceFanout(fanout)
@@ -222,6 +228,7 @@
 	}
 	p.snapshot = s
 	p.reachableServices = nil
+	clear(p.fair.costs)
 	if s.Config != nil && s.Version != p.configVersion {
 		p.applyConfig(s)
 	}
@@ -259,6 +266,7 @@
 // p.mu is held.
 func (p *Plugin) applyConfig(s *state.Snapshot) {
 	p.configVersion = s.Version
+	before := p.services
 	p.services = map[string]string{}
 	top := 1
 	for _, r := range s.Config.Hosts.Routes() {
@@ -267,6 +275,10 @@
 			top = max(top, int(r.Priority)+1)
 		}
 	}
+	p.fair.setCustomers(s.Config.Customers)
+	if !maps.Equal(before, p.services) {
+		p.fair.meter.Reset(p.host.Now())
+	}
 	p.top = float64(top)
 	p.level.SetTop(p.top)
 	if p.rateLevel != nil {
@@ -310,7 +322,11 @@
 		return nil, err
 	}
 	p.mu.Lock()
-	p.levelTable.record(n, p.host.Now())
+	now := p.host.Now()
+	p.levelTable.record(n, now)
+	if n.Demand != nil {
+		p.fair.receive(n.From, p.host.Self.Service, n.Demand, now)
+	}
 	p.mu.Unlock()
 	return nil, nil
 }
@@ -349,23 +365,44 @@
 func (p *Plugin) overloadedService(c *kernel.Call) *serviceOverload {
 	now := p.host.Now()
 	s := p.host.Snapshot()
-	rank := float64(c.Priority) + float64(p.host.Rand()%1000)/1000
+	random := float64(p.host.Rand()%1000) / 1000
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if current := p.cachedLevel(c.Service, s, now); rank >= current.level {
-		return &serviceOverload{c.Service, rank, current}
+	customer := p.fair.offered(c)
+	if overload := p.refusedBy(c.Service, c, customer, random, s, now); overload != nil {
+		return overload
 	}
 	if p.reachableServices == nil {
 		p.reachableServices = reachableServices(s.Fanout, p.services)
 	}
 	for _, service := range p.reachableServices[c.RouteName] {
-		if current := p.cachedLevel(service, s, now); rank >= current.level {
-			return &serviceOverload{service, rank, current}
+		if overload := p.refusedBy(service, c, customer, random, s, now); overload != nil {
+			return overload
 		}
 	}
+	if customer != nil {
+		p.fair.meter.Admitted(customer)
+	}
 	return nil
 }
 
+// refusedBy returns a service if its level is at or below the call's rank there, else
+// nil. customer is nil if the call is not subject to shares. p.mu is held.
+func (p *Plugin) refusedBy(service string, c *kernel.Call, customer *fairshare.Customer, random float64, s *state.Snapshot, now time.Time) *serviceOverload {
+	current := p.cachedLevel(service, s, now)
+	rank := float64(c.Priority) + random
+	if customer != nil && current.level < p.top {
+		rank = p.sharesOf(service, current.level, now).Rank(c.Customer, c.Priority, random)
+	}
+	if rank < current.level {
+		return nil
+	}
+	if customer != nil && int(current.level) == int(c.Priority) {
+		p.fair.limited.refusals++
+	}
+	return &serviceOverload{service, rank, current}
+}
+
 // cachedLevel returns the level of a service. p.mu is held.
 func (p *Plugin) cachedLevel(service string, s *state.Snapshot, now time.Time) serviceLevel {
 	if current, ok := p.serviceLevels[service]; ok {
--- a/admission/graph/table.go
+++ b/admission/graph/table.go
@@ -25,6 +25,10 @@
 	// Capacity is the number of calls that the instance runs at once at its rate
 	// limit; zero if it names none.
 	Capacity int `cbor:"4,keyasint,omitempty"`
+	// Collects is set if the node collects the demand on its service from entry
+	// nodes.
+	Collects bool          `cbor:"5,keyasint,omitempty"`
+	Demand   *demandReport `cbor:"6,keyasint,omitempty"`
 }
 
 // memberLevel is the latest level received from a member.
@@ -33,6 +37,7 @@
 	level      float64
 	capacity   int // zero: the member's slots
 	admitsAll  bool
+	collects   bool
 	receivedAt time.Time
 }
 
@@ -54,6 +59,7 @@
 	m.admitsAll = n.Level < 0
 	m.level = float64(n.Level) / 1000
 	m.capacity = n.Capacity
+	m.collects = n.Collects
 }
 
 // serviceLevel is the admission level of a service.
