--- a/admission/graph/fair_test.go
+++ b/admission/graph/fair_test.go
@@ -319,7 +319,7 @@
 	f := newFairFleet(1, 15, 1.3, customers)
 	f.run(0, 6*time.Second)
 	metrics := map[string]expvar.Var{}
-	f.plugins[1].PublishMetrics(func(name string, v expvar.Var) { metrics[name] = v })
+	f.plugins[1].publishShareMetrics(func(name string, v expvar.Var) { metrics[name] = v })
 	if got := metrics["customers_limited"].String(); !strings.Contains(got, `"leaf":{"large":`) || strings.Contains(got, "small") {
 		t.Errorf("customers_limited %s", got)
 	}
--- a/admission/graph/limited.go
+++ b/admission/graph/limited.go
@@ -134,8 +134,8 @@
 	return out
 }
 
-// PublishMetrics publishes the plug-in's metrics.
-func (p *Plugin) PublishMetrics(publish func(name string, v expvar.Var)) {
+// publishShareMetrics publishes the metrics of customers' shares.
+func (p *Plugin) publishShareMetrics(publish func(name string, v expvar.Var)) {
 	publish("customers_limited", expvar.Func(func() any { return p.limitedMetrics() }))
 	publish("fair_share_refusals_total", expvar.Func(func() any {
 		p.mu.Lock()
--- a/admission/graph/plugin.go
+++ b/admission/graph/plugin.go
@@ -111,6 +111,7 @@
 	p.serviceLevels = map[string]serviceLevel{}
 	p.fair = newFairness(h.Now())
 	p.top = config.PriorityCount
+	p.publishShareMetrics(h.PublishMetric)
 	h.Peers.Handle(kindNotice, p.onNotice)
 	p.publish()
 	return nil
--- a/kernel/registry.go
+++ b/kernel/registry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"expvar"
 	"fmt"
 	"sort"
 	"sync"
@@ -42,13 +41,6 @@
 	Resign(ctx context.Context)
 }
 
-// MetricsPublisher is implemented by plug-ins that publish metrics.
-type MetricsPublisher interface {
-	// PublishMetrics calls publish for each metric once. The variables are read
-	// from any goroutine.
-	PublishMetrics(publish func(name string, v expvar.Var))
-}
-
 // TickInterval is the period of Ticker.Tick.
 const TickInterval = 50 * time.Millisecond
 
@@ -157,16 +149,6 @@
 	}
 }
 
-// PublishMetrics calls PublishMetrics of every plug-in that implements
-// MetricsPublisher.
-func (s *PluginSet) PublishMetrics(publish func(name string, v expvar.Var)) {
-	for _, p := range s.plugins {
-		if m, ok := p.(MetricsPublisher); ok {
-			m.PublishMetrics(publish)
-		}
-	}
-}
-
 // Resign calls Resign of every plug-in that implements Resigner.
 func (s *PluginSet) Resign(ctx context.Context) {
 	for _, p := range s.plugins {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -153,7 +153,6 @@
 	n.owner = n.plugins.Owner(exchange)
 	network.Handle(kindCall, n.receiveCall)
 	n.metrics.registerGauges(n)
-	n.plugins.PublishMetrics(n.Publish)
 	return n, nil
 }
 
