--- a/config/diff_test.go
+++ b/config/diff_test.go
@@ -9,13 +9,13 @@
 func TestDiffListsEveryChange(t *testing.T) {
 	old := &Config{
 		FailureDomains: []string{"a", "b"},
-		Customers:      []Customer{{"golf", 10, 20}, {"tennis", 1, 1}},
+		Customers:      []Customer{{Name: "golf", Rate: 10, Burst: 20}, {Name: "tennis", Rate: 1, Burst: 1}},
 		Routes:         []Route{{Name: "maps", Deadline: time.Second}},
 		Retry:          RetryPolicy{Allowance: 3},
 	}
 	next := &Config{
 		FailureDomains: []string{"b", "a"},
-		Customers:      []Customer{{"camp", 5, 5}, {"golf", 15, 20}},
+		Customers:      []Customer{{Name: "camp", Rate: 5, Burst: 5}, {Name: "golf", Rate: 15, Burst: 20}},
 		Routes:         []Route{{Name: "maps", Deadline: 2 * time.Second, Open: true}},
 		Keys:           []Key{{ID: "0123456789", Customer: "camp", Hash: "0011223344", Salt: "5566778899"}},
 		Retry:          RetryPolicy{Allowance: 2},
