--- a/admission/graph/burst_test.go
+++ b/admission/graph/burst_test.go
@@ -66,3 +66,86 @@
 		}
 	}
 }
+
+// treeKind is a kind of request whose trees make leaf calls, one after the other.
+type treeKind struct {
+	rank                         int
+	leafCalls                    int
+	leafRun                      time.Duration
+	timeout                      time.Duration
+	arrived, admitted, completed int
+}
+
+// work returns the slot-seconds that a tree needs at the leaf.
+func (k *treeKind) work() float64 { return float64(k.leafCalls) * k.leafRun.Seconds() }
+
+// arriveKind starts trees of a kind that call the leaf directly.
+func (l *treeSim) arriveKind(k *treeKind, perSecond float64) {
+	l.after(time.Duration(l.rng.ExpFloat64()/perSecond*float64(time.Second)), func() { l.arriveKind(k, perSecond) })
+	counted := l.now.After(l.warmup) && l.now.Before(l.countUntil)
+	if counted {
+		k.arrived++
+	}
+	if float64(k.rank)+l.rng.Float64() >= l.leaf.effectiveLevel {
+		return
+	}
+	if counted {
+		k.admitted++
+	}
+	deadline := l.now.Add(k.timeout)
+	call := func(next func()) {
+		l.call(l.leaf, deadline, func(end func()) {
+			l.after(time.Duration((0.5+l.rng.Float64())*float64(k.leafRun)), end)
+		}, next)
+	}
+	l.after(rootWork, func() {
+		l.sequentially(k.leafCalls, call, func() {
+			if counted && !l.now.After(deadline) {
+				k.completed++
+			}
+		})
+	})
+}
+
+// Three kinds of request share a leaf at 0.9 of its capacity. The demand for the least
+// urgent one, whose trees make eight calls each, triples within a moment for six seconds.
+// Guards against a level that falls on while waiting calls are worked off: it refused more
+// urgent kinds and left half of the slots idle for seconds.
+func TestBurstOfLeastUrgentKind(t *testing.T) {
+	const (
+		usual, burst     = 4 * time.Second, 6 * time.Second
+		instances, slots = 17, 39
+		capacity         = instances * slots // slot-seconds per second
+		growth           = 3.0
+	)
+	for seed := range uint64(3) {
+		l := &treeSim{
+			rng: rand.New(rand.NewPCG(seed, 1)), now: start, warmup: start.Add(usual), countUntil: start.Add(usual + burst),
+			leaf: newService(instances, slots), middle: newService(1, 1),
+		}
+		reads := &treeKind{rank: 1, leafCalls: 1, leafRun: 480 * time.Millisecond, timeout: 2500 * time.Millisecond}
+		lookups := &treeKind{rank: 1, leafCalls: 4, leafRun: 30 * time.Millisecond, timeout: 2500 * time.Millisecond}
+		bookings := &treeKind{rank: 2, leafCalls: 8, leafRun: 30 * time.Millisecond, timeout: time.Second}
+		for _, level := range l.leaf.levels {
+			level.SetDrainTime(time.Duration(waitShare * float64(bookings.timeout) / float64(bookings.leafCalls)))
+		}
+		l.tick()
+		l.arriveKind(reads, 0.28*capacity/reads.work())
+		l.arriveKind(lookups, 0.27*capacity/lookups.work())
+		perSecond := 0.35 * capacity / bookings.work()
+		l.arriveKind(bookings, perSecond)
+		l.after(usual, func() { l.arriveKind(bookings, (growth-1)*perSecond) })
+		l.run(usual + burst + reads.timeout)
+		for _, k := range []*treeKind{reads, lookups} {
+			if share := float64(k.completed) / float64(k.arrived); share < 0.95 {
+				t.Errorf("seed %d: %.2f of the more urgent trees of %d calls completed", seed, share, k.leafCalls)
+			}
+		}
+		room := (1 - 0.28 - 0.27) * capacity * burst.Seconds() / bookings.work()
+		used, failed := float64(bookings.completed)/room, 1-float64(bookings.completed)/float64(bookings.admitted)
+		t.Logf("seed %d: bookings completed %.2f of the room that is left, %.2f of the admitted ones failed", seed, used, failed)
+		if used < 0.8 || failed > 0.15 {
+			t.Errorf("seed %d: bookings completed %.2f of the room that is left, %.2f of the admitted ones failed", seed, used, failed)
+		}
+	}
+}
--- a/admission/graph/level.go
+++ b/admission/graph/level.go
@@ -20,21 +20,30 @@
 	// worked off.
 	maxDrainTime = 300 * time.Millisecond
 	minDrainTime = 50 * time.Millisecond
+	// backlogGain is the number of ranks by which waiting calls lower the level when
+	// they need drainTime beyond toleratedBacklog, a fraction of drainTime that waits
+	// even at the target load. maxBacklogRanks bounds that.
+	backlogGain      = 0.6
+	toleratedBacklog = 0.1
+	maxBacklogRanks  = 1.0
 	// maxLoad caps the load used by the controller.
 	maxLoad = 3.0
 )
 
 // Level is the admission level of one instance: it admits new trees with a rank
-// below the level. The level follows the offered load and the backlog. The
-// backlog counts because waiting calls delay the calls that their trees would
-// make next, so an instance at which many trees wait is offered little more
-// than its capacity.
+// below the level. The level is the integral of the difference between the offered load
+// and the target, less a part in proportion to the backlog. The backlog counts because
+// waiting calls delay the calls that their trees would make next, so an instance at which
+// many trees wait is offered little more than its capacity. It isn't integrated: while
+// waiting calls are worked off, the level would fall on and leave the slots idle
+// afterwards.
 //
 // While a change of the level has not taken effect, the load is still that of
-// the previous level. The level therefore moves no further from the levels of
+// the previous level. The integral therefore moves no further from its values of
 // the last maxLevelDelay than the loads of that time require.
 type Level struct {
 	value   float64
+	base    float64 // value without the part of the backlog
 	top     float64
 	load    float64
 	updated time.Time
@@ -50,7 +59,7 @@
 
 // NewLevel returns a level that admits all ranks below top.
 func NewLevel(now time.Time, top float64) *Level {
-	return &Level{value: top, top: top, updated: now, drainTime: maxDrainTime}
+	return &Level{value: top, base: top, top: top, updated: now, drainTime: maxDrainTime}
 }
 
 // SetDrainTime sets the time within which waiting calls are to be worked off. It is
@@ -62,6 +71,9 @@
 	if l.value >= l.top || l.value > top {
 		l.value = top
 	}
+	if l.base >= l.top || l.base > top {
+		l.base = top
+	}
 	l.top = top
 }
 
@@ -78,9 +90,15 @@
 	}
 	l.load = load
 	lowest, highest := l.limits(now, load)
-	load = min(load+d.Backlog.Seconds()/l.drainTime.Seconds(), maxLoad)
-	l.value += levelGain * (targetLoad - load) * min(elapsed, 1)
-	l.value = min(max(l.value, lowest, 0), highest, l.top)
+	l.base += levelGain * (targetLoad - load) * min(elapsed, 1)
+	l.base = min(max(l.base, lowest, 0), highest, l.top)
+	l.value = max(l.base-l.backlogRanks(d.Backlog), 0)
+}
+
+// backlogRanks returns the number of ranks by which waiting calls lower the level.
+func (l *Level) backlogRanks(backlog time.Duration) float64 {
+	excess := backlog.Seconds()/l.drainTime.Seconds() - toleratedBacklog
+	return min(max(backlogGain*excess, 0), maxBacklogRanks)
 }
 
 // Anticipate lowers the level at once for load that is about to grow by a factor, as
@@ -90,9 +108,10 @@
 	if surplus <= 0 {
 		return
 	}
-	l.value = max(l.value-surplus/loadPerRank, 0)
+	l.base = max(l.base-surplus/loadPerRank, 0)
+	l.value = min(l.value, l.base)
 	// The levels before the change no longer bound the next ones from above.
-	l.recent = []levelSample{{now, l.value, min(l.load*growth, maxLoad)}}
+	l.recent = []levelSample{{now, l.base, min(l.load*growth, maxLoad)}}
 }
 
 // limits returns the range in which the level may move now and records a
@@ -101,7 +120,7 @@
 	for len(l.recent) > 0 && now.Sub(l.recent[0].at) > maxLevelDelay {
 		l.recent = l.recent[1:]
 	}
-	l.recent = append(l.recent, levelSample{now, l.value, load})
+	l.recent = append(l.recent, levelSample{now, l.base, load})
 	lows, highs := l.recent[0], l.recent[0]
 	for _, sample := range l.recent {
 		lows.value, highs.value = min(lows.value, sample.value), max(highs.value, sample.value)
