--- a/admission/graph/drain.go
+++ b/admission/graph/drain.go
@@ -21,7 +21,10 @@
 		if r.Open {
 			continue
 		}
-		calls := callsAt(service, r.Name, fanout, serviceOf, maxTreeDepth)
+		calls := treeCost(r.Name, service, fanout, serviceOf, maxTreeDepth)
+		if serviceOf[r.Name] == service {
+			calls-- // the request itself waits by its own objective
+		}
 		if calls < 1 {
 			continue
 		}
@@ -42,20 +45,3 @@
 	}
 	return objective
 }
-
-// callsAt returns the number of nested calls at a service that one run on a route leads
-// to.
-func callsAt(service, route string, fanout state.Fanout, serviceOf map[string]string, depth int) float64 {
-	if depth == 0 {
-		return 0
-	}
-	calls := 0.0
-	for call, thousandths := range fanout[route] {
-		below := callsAt(service, call, fanout, serviceOf, depth-1)
-		if serviceOf[call] == service {
-			below++
-		}
-		calls += float64(thousandths) / 1000 * below
-	}
-	return calls
-}
