--- a/admission/graph/burst_test.go
+++ b/admission/graph/burst_test.go
@@ -14,6 +14,7 @@
 // leaves 60 ms for the wait of each call. Guards against trees that all run out of time
 // together because each of their calls waits a little.
 func TestBurstOfTreesWithShortTimeouts(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		const usual, burst = 4 * time.Second, 6 * time.Second
 		capacity := leafInstances * leafSlots / (middleCalls * leafCalls * leafRun.Seconds())
@@ -112,6 +113,7 @@
 // Guards against a level that falls on while waiting calls are worked off: it refused more
 // urgent kinds and left half of the slots idle for seconds.
 func TestBurstOfLeastUrgentKind(t *testing.T) {
+	t.Parallel()
 	const (
 		usual, burst     = 2 * time.Second, 5 * time.Second
 		instances, slots = 5, 39
--- a/admission/graph/closedloop_test.go
+++ b/admission/graph/closedloop_test.go
@@ -198,6 +198,7 @@
 // spend most of its slots on trees that complete, and few admitted trees may
 // miss their deadline.
 func TestLeafCompletesWholeTrees(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		const length, warmup = 11 * time.Second, 3 * time.Second
 		capacity := leafInstances * leafSlots / (middleCalls * leafCalls * leafRun.Seconds())
@@ -222,6 +223,7 @@
 // run, while trees arrive at twice what the limits allow. Begun trees go first, so that
 // the limits must be spent on trees that complete.
 func TestLimitedLeafCompletesWholeTrees(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		const length, warmup = 16 * time.Second, 6 * time.Second
 		perInstance := 0.4 * leafSlots / leafRun.Seconds()
--- a/admission/graph/fair_test.go
+++ b/admission/graph/fair_test.go
@@ -36,6 +36,7 @@
 // the capacity. Guards against customers within their share being refused for the excess
 // of others, and against a total that differs from the level's.
 func TestRivalCustomersGetTheirShares(t *testing.T) {
+	t.Parallel()
 	for _, load := range []struct {
 		name     string
 		factors  map[int]float64
@@ -62,6 +63,7 @@
 // its part of the demand. Guards against nodes that take such a customer for one beyond
 // its share, and against failure domains that refuse more or less than needed together.
 func TestCustomersAtOneFailureDomain(t *testing.T) {
+	t.Parallel()
 	const capacity = 1.05
 	customers := rivals(map[int]float64{71: 7, 70: 6, 60: 5})
 	for i := range customers {
@@ -79,6 +81,7 @@
 // know theirs. Guards against a side that stops shedding or refuses customers within their
 // share because reports of the other side are missing or old.
 func TestCutOffFailureDomainDecidesWithWhatItKnows(t *testing.T) {
+	t.Parallel()
 	customers := rivals(map[int]float64{71: 7, 70: 6, 69: 5})
 	fraction := 1.1 * 2000 / totalLoad(customers)
 	f := newFairFleet(4, 60, 1+fraction, customers)
@@ -111,6 +114,7 @@
 // against a node that needs reports to shed what the level asks for. Its own few requests
 // don't tell customers apart as well, so their shares aren't checked.
 func TestTotalHoldsWithoutCollectors(t *testing.T) {
+	t.Parallel()
 	customers := rivals(map[int]float64{71: 7, 70: 6, 69: 5})
 	fraction := 1.1 * 2000 / totalLoad(customers)
 	f := newFairFleet(5, 60, 1+fraction, customers)
@@ -135,6 +139,7 @@
 // interval of notices, and is within its share. Two others send 20 times what they may.
 // Guards against a small customer that is refused for single requests.
 func TestSmallCustomerIsKeptWhole(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		customers := []fairCustomer{
 			{name: "small", demand: 30, rate: 30, route: "read"},
@@ -169,6 +174,7 @@
 // Bursts are of one kind: a customer's batches, each of which makes eight calls to the
 // leaf, against reads. Guards against shares that count requests instead of calls.
 func TestBurstOfExpensiveRequests(t *testing.T) {
+	t.Parallel()
 	customers := rivals(nil)
 	for i := range customers {
 		if i%9 == 8 {
@@ -220,6 +226,7 @@
 // Customers without a rate beside rated ones get the mean rate as their weight, and equal
 // weights among themselves. Guards against customers without any share.
 func TestCustomersWithoutRateGetEqualShares(t *testing.T) {
+	t.Parallel()
 	customers := []fairCustomer{
 		{name: "rated", demand: 1000, rate: 100, route: "read"},
 		{name: "unrated-1", demand: 1000, route: "read"},
@@ -339,6 +346,7 @@
 // The level follows the load that is admitted, which shows at the leaf 0.3 s later. Guards
 // against shares that make the controller oscillate or leave the load off its target.
 func TestLevelIsStableWithShares(t *testing.T) {
+	t.Parallel()
 	const capacity, delayTicks = 2200.0, 6
 	for _, rated := range []bool{true, false} {
 		customers := rivals(nil)
--- a/admission/graph/ranks_test.go
+++ b/admission/graph/ranks_test.go
@@ -130,6 +130,7 @@
 // served throughout. After any surge the call graph must serve 95% again within
 // five seconds.
 func TestSurgeKeepsImportantRankAndRecovers(t *testing.T) {
+	t.Parallel()
 	const usualSurge, important, recovered = 1.6, 0.95, 0.95
 	for _, surge := range []float64{usualSurge, 2.2} {
 		r := newRankedSim(1, surge)
--- a/admission/graph/worktime_test.go
+++ b/admission/graph/worktime_test.go
@@ -313,6 +313,7 @@
 // seven is slow for 0.7 s. Guards against calls that run at the slow instance to no
 // avail: fewer must end late, and more in time, than without the work time.
 func TestSlowInstanceWastesFewRuns(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{1, 2, 3} {
 		without, with := playSlowFleet(seed, true), playSlowFleet(seed, false)
 		for name, f := range map[string]*slowFleet{"without": without, "with": with} {
