--- a/admission/graph/fairfleet_test.go
+++ b/admission/graph/fairfleet_test.go
@@ -75,10 +75,10 @@
 // Routes of a fairFleet: a read calls the leaf once, a batch eight times, and an alert, which
 // is more urgent, once.
 var fairRoutes = []config.HostRoute{
-	{Route: config.Route{Name: "read", Service: "front", Priority: 1}},
-	{Route: config.Route{Name: "batch", Service: "front", Priority: 1}},
-	{Route: config.Route{Name: "alert", Service: "front", Priority: 0}},
-	{Route: config.Route{Name: "leaf", Service: "leaf", Open: true}},
+	{Route: config.Route{Name: "read", Service: "front", Priority: 1}, Host: "h", Prefix: "/read/"},
+	{Route: config.Route{Name: "batch", Service: "front", Priority: 1}, Host: "h", Prefix: "/batch/"},
+	{Route: config.Route{Name: "alert", Service: "front", Priority: 0}, Host: "h", Prefix: "/alert/"},
+	{Route: config.Route{Name: "leaf", Service: "leaf", Open: true}, Host: "h", Prefix: "/leaf/"},
 }
 
 var fairCosts = map[string]float64{"read": 1, "batch": 8, "alert": 1}
@@ -94,9 +94,6 @@
 		offeredIn: map[string]float64{}, admittedIn: map[string]float64{},
 	}
 	c := &config.Config{Hosts: config.NewHostTable(fairRoutes)}
-	for i := range fairRoutes {
-		fairRoutes[i].Host, fairRoutes[i].Prefix = "h", "/"+fairRoutes[i].Name+"/"
-	}
 	for _, customer := range customers {
 		c.Customers = append(c.Customers, config.Customer{Name: customer.name, Rate: customer.rate})
 	}
