--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/gooseberryflow/gooseberryflow/internal/daemontest"
+	"github.com/gooseberryflow/gooseberryflow/internal/faultproxy"
 	"github.com/gooseberryflow/gooseberryflow/platform/standin"
 )
 
@@ -78,9 +79,12 @@
 func (f *fleet) close() {
 	for _, n := range f.nodes {
 		n.kill()
+		n.storeProxy.Close()
 	}
 	f.store.close()
-	_ = os.RemoveAll(f.dir)
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(f.dir)
+	}
 }
 
 // storeServer is the project's stand-in of the platform's store, without the header that
@@ -171,7 +175,9 @@
 	name, service, zone                              string
 	outbound, readiness, control, metrics, call, app string
 	settingsPath                                     string
-	logLevel                                         string
+	// storeProxy stands between the node and the store.
+	storeProxy *faultproxy.Proxy
+	logLevel   string
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -187,6 +193,10 @@
 			return nil, err
 		}
 	}
+	var err error
+	if n.storeProxy, err = faultproxy.ListenTCP(f.store.listener.Addr().String(), 1); err != nil {
+		return nil, err
+	}
 	f.nodes = append(f.nodes, n)
 	return n, n.writeSettings()
 }
@@ -206,7 +216,7 @@
 		`{{node}}`, n.name, `{{service}}`, n.service, `{{zone}}`, n.zone,
 		`{{listen.outbound}}`, n.outbound, `{{listen.readiness}}`, n.readiness, `{{listen.control}}`, n.control, `{{app}}`, n.app,
 		`{{limits.memory_mb}}`, "284", `{{bounds.grace_period_s}}`, "6",
-		`{{platform.address}}`, n.f.store.listener.Addr().String(), `{{platform.parts}}`, fmt.Sprint(partitions),
+		`{{platform.address}}`, n.storeProxy.Addr(), `{{platform.parts}}`, fmt.Sprint(partitions),
 		`{{bounds.config_apply_s}}`, "2", `{{bounds.revoke_s}}`, "5", `{{bounds.retry_budget_ratio}}`, "0.2",
 		`{{bounds.budget_slack}}`, "48", `{{bounds.retry_window_s}}`, "10",
 		"{{#zones}}\"{{@}}\" = \"{{.}}\"\n{{/zones}}", zones,
