--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -273,7 +273,7 @@
 	const (
 		slots    = 8
 		work     = 200 * time.Millisecond
-		calls    = 200
+		calls    = 220
 		deadline = 3 * time.Second
 		// The worker exits a little later than drain_period_s after the confirmation.
 		exitAfter = drainPeriod + 300*time.Millisecond
@@ -307,7 +307,7 @@
 		clients.Wait()
 	}
 	send("call", calls)
-	time.Sleep(50 * time.Millisecond)
+	time.Sleep(150 * time.Millisecond) // until all of them have got to the queues
 	leaver := workers[0]
 	var confirmed time.Time
 	if trouble {
