--- a/review/harness2/popular.go
+++ b/review/harness2/popular.go
@@ -45,7 +45,9 @@
 		for _, w := range workers[:2] {
 			w.exit()
 		}
-		time.Sleep(crashTime)
+	}
+	time.Sleep(crashTime)
+	if trouble {
 		for i := range 2 {
 			var err error
 			if workers[i], err = startWorker(f.nodes[i], fmt.Sprintf("i-02d9e6b%d", i), mapWork); err != nil {
@@ -53,12 +55,15 @@
 			}
 		}
 	}
-	time.Sleep(time.Until(back.Add(recovery + 10*time.Second)))
+	// Judged once recovery_s is over for the crashed workers, too.
+	workersBack := time.Now()
+	f.record.add("all workers are back, %.1f s after the nodes", workersBack.Sub(back).Seconds())
+	time.Sleep(recovery + 10*time.Second)
 	answers := load.stop()
 	for _, w := range workers {
 		w.exit()
 	}
-	return recovered(answers, final, back)
+	return recovered(answers, final, workersBack)
 }
 
 // serving reports whether all nodes serve.
