--- a/review/harness2/client.go
+++ b/review/harness2/client.go
@@ -29,6 +29,11 @@
 
 // ask sends one attempt on a connection of its own and waits for the answer.
 func ask(n *node, method, host, path string, body string, wait time.Duration) answer {
+	return askWith(n, method, host, path, body, wait, func(http.Header) {})
+}
+
+// askWith is ask with further headers.
+func askWith(n *node, method, host, path string, body string, wait time.Duration, change func(http.Header)) answer {
 	number := lastRequest.Add(1)
 	a := answer{id: fmt.Sprintf("r%06d", number), node: n, sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
@@ -42,6 +47,7 @@
 	req.Header.Set("X-Request-Id", a.id)
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(wait.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+apiKey(int(number)))
+	change(req.Header)
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	resp, err := transport.RoundTrip(req)
 	if err == nil {
--- a/review/harness2/popular.go
+++ b/review/harness2/popular.go
@@ -16,7 +16,7 @@
 // popular: all clients ask for the same map. After the final fault the workers of one
 // zone crash once and come back.
 func popular(f *fleet, trouble bool) verdict {
-	f.store.putConfig(5, pageLimits, route{"r-rge9itf", mapHost, "/leny950/", "safe", "huvo11a", 5})
+	f.store.putConfig(5, pageLimits, route{name: "r-rge9itf", host: mapHost, prefix: "/leny950/", kind: "safe", service: "huvo11a", timeoutS: 5})
 	workers := make([]*worker, 4)
 	for i, zone := range []string{"evora-a", "evora-a", "evora-b", "beja-a"} {
 		n, err := f.addNode(fmt.Sprintf("sidecar-%s-%d", zone, i+1), "huvo11a", zone, 284)
--- a/review/harness2/store.go
+++ b/review/harness2/store.go
@@ -53,6 +53,7 @@
 type route struct {
 	name, host, prefix, kind, service string
 	timeoutS                          float64
+	public                            bool // for the calls of workers
 }
 
 // limits are what the config allows clients.
@@ -76,7 +77,7 @@
 	services := map[string]bool{}
 	for _, r := range routes {
 		listeners = append(listeners, object{"host": r.host, "rules": []object{{
-			"name": r.name, "kind": r.kind, "target_latency_s": 1.5, "priority": 1, "public": false,
+			"name": r.name, "kind": r.kind, "target_latency_s": 1.5, "priority": 1, "public": r.public,
 			"match":  object{"path_prefix": r.prefix},
 			"action": object{"service": r.service, "timeout_s": r.timeoutS, "max_attempts": 2},
 		}}})
--- a/review/harness2/uploads.go
+++ b/review/harness2/uploads.go
@@ -89,7 +89,7 @@
 // uploads: many clients upload at once while one worker is down. The platform kills a
 // process that exceeds memory_mb and starts it again.
 func uploads(f *fleet, trouble bool) verdict {
-	f.store.putConfig(5, pageLimits, route{"r-upload", uploadHost, "/cufi502/", "upload", "kafi81c", uploadDeadline.Seconds()})
+	f.store.putConfig(5, pageLimits, route{name: "r-upload", host: uploadHost, prefix: "/cufi502/", kind: "upload", service: "kafi81c", timeoutS: uploadDeadline.Seconds()})
 	zones := []string{"evora-a", "evora-b", "beja-a"}
 	var workers []*worker
 	for i := range uploadMachines {
