--- a/review/harness2/calls.go
+++ b/review/harness2/calls.go
@@ -57,35 +57,33 @@
 	stopping, parents, calledWorkers := f.nodes[0], workers[0], workers[1:]
 	var calls sync.Map // request ID -> answer
 	var callsDone sync.WaitGroup
-	var began, term time.Time
+	var stopAt time.Time // of the SIGTERM
 	parents.onRun = func(ctx context.Context, r *http.Request) bool {
 		if r.Header.Get("X-Long") == "" {
 			return stopping.callFrom(ctx, r, shortCall, &calls, &callsDone)
 		}
-		for time.Since(began) < callsAt {
+		for time.Since(stopAt) < callsAt {
 			if !stopping.callFrom(ctx, r, shortCall, &calls, &callsDone) {
 				return false
 			}
 		}
 		return stopping.callFrom(ctx, r, longCall, &calls, &callsDone)
 	}
-	post := func(n *node, long string) answer { return askParent(n, long) }
-	if !eventually(20*time.Second, func() bool { return post(stopping, "").status == http.StatusOK }) {
+	if !eventually(20*time.Second, func() bool { return askParent(stopping, "").status == http.StatusOK }) {
 		return verdict{err: errNotServing}
 	}
-	load := startTraffic(f.nodes[:1], 25*time.Millisecond, func(n *node) answer { return post(n, "") })
+	load := startTraffic(f.nodes[:1], 25*time.Millisecond, func(n *node) answer { return askParent(n, "") })
 	time.Sleep(4 * time.Second)
-	began = time.Now().Add(parentsBefore)
+	stopAt = time.Now().Add(parentsBefore)
 	var asking sync.WaitGroup
 	for range longCalls {
-		asking.Go(func() { post(stopping, "1") })
+		asking.Go(func() { askParent(stopping, "1") })
 	}
 	time.Sleep(parentsBefore)
-	term = began
 	if trouble {
 		stopping.signal(syscall.SIGTERM)
 	}
-	time.Sleep(time.Until(term.Add(2 * time.Second)))
+	time.Sleep(time.Until(stopAt.Add(2 * time.Second)))
 	load.stop()
 	asking.Wait()
 	callsDone.Wait()
@@ -96,7 +94,7 @@
 	lost, sent := 0, 0
 	calls.Range(func(_, value any) bool {
 		a := value.(callAnswer)
-		if a.path != longCall || a.sent.Before(term.Add(3*time.Second)) {
+		if a.path != longCall || a.sent.Before(stopAt.Add(3*time.Second)) {
 			return true
 		}
 		sent++
@@ -109,7 +107,7 @@
 		if ran && a.stamp == "" && a.ended.Before(a.deadline) {
 			lost++
 			f.record.add("broken: call %s, sent %.2f s after the SIGTERM, ended after %.2f s of its %.2f s with status %d of the node's own, its worker is at work",
-				a.id, a.sent.Sub(term).Seconds(), a.ended.Sub(a.sent).Seconds(), a.deadline.Sub(a.sent).Seconds(), a.status)
+				a.id, a.sent.Sub(stopAt).Seconds(), a.ended.Sub(a.sent).Seconds(), a.deadline.Sub(a.sent).Seconds(), a.status)
 		}
 		return true
 	})
