httpstrict: a status line that is none is not passed on

What callers saw: an instance in trouble sent a response with the status 000, and its callers got it as the response to their request.

Cause: net/http takes any three characters that strconv.Atoi reads as a number from 0 on for a status, any major version, and any bytes for the reason; neither `upstream` nor `node` looked at them. 101, which nobody had asked for, was skipped by `upstream` as an interim response, and `node` passed the bytes behind it on as its body.

Change: internal/httpstrict decides in one place what is a response. A later minor version counts as 1.1, as the standard says. The outcome is "may have run"; neither client takes the instance for down or lost because of it.

Why it works: the check stands behind the only two places where the heads of instances' responses are read, before anything of a response is used.

--- /dev/null
+++ b/internal/httpstrict/doc.go
@@ -0,0 +1,14 @@
+// Package httpstrict refuses HTTP/1 responses that net/http's client accepts although they
+// are invalid under RFC 9110 and RFC 9112.
+//
+// net/http reads the messages. It refuses most violations of the grammar itself.
+// This package adds what it lets through:
+//
+//   - a status outside 100 to 599 (RFC 9110, 15), a major version other than 1 (RFC 9110,
+//     2.5) and a reason phrase with control bytes (RFC 9112, 4);
+//   - 101 (Switching Protocols), since no request here asks for another protocol (RFC 9110,
+//     15.2.2).
+//
+// Left as net/http does them, as the standard allows: a later minor version counts as 1.1,
+// and further blanks before the status are skipped.
+package httpstrict
--- /dev/null
+++ b/internal/httpstrict/response.go
@@ -0,0 +1,44 @@
+package httpstrict
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// ErrInvalid is the error of a response that is not valid HTTP/1.
+var ErrInvalid = errors.New("invalid response")
+
+const (
+	lowestStatus  = 100
+	highestStatus = 599
+	// maxQuotedBytes bounds the part of a response that an error quotes.
+	maxQuotedBytes = 64
+)
+
+// ReadResponse is http.ReadResponse, to a request that is not a HEAD request. The error is
+// ErrInvalid if net/http accepts a head, final or interim, that is invalid.
+func ReadResponse(r *bufio.Reader) (*http.Response, error) {
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return nil, err
+	}
+	return resp, checkHead(resp)
+}
+
+func checkHead(resp *http.Response) error {
+	switch {
+	case resp.ProtoMajor != 1:
+		return fmt.Errorf("%w: version %.*q", ErrInvalid, maxQuotedBytes, resp.Proto)
+	case resp.StatusCode < lowestStatus || resp.StatusCode > highestStatus:
+		return fmt.Errorf("%w: status %.*q", ErrInvalid, maxQuotedBytes, resp.Status)
+	case resp.StatusCode == http.StatusSwitchingProtocols:
+		return fmt.Errorf("%w: upgrade that was not requested", ErrInvalid)
+	case !httpguts.ValidHeaderFieldValue(resp.Status): // a reason has the grammar of a value
+		return fmt.Errorf("%w: reason %.*q", ErrInvalid, maxQuotedBytes, resp.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/node/invalid_test.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/kernel"
+)
+
+// instance starts a server that serves each connection with serve, and returns its client.
+func instance(t *testing.T, serve func(conn *net.TCPConn, in *bufio.Reader)) *upstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				serve(conn.(*net.TCPConn), bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return newUpstream(l.Addr().String(), testBodyLimit, time.Now, newMetrics())
+}
+
+const callLimit = 10 * time.Second
+
+func exchangeWithin(t *testing.T, u *upstream, method string, body []byte) *kernel.Result {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), callLimit)
+	defer cancel()
+	c := testCall(method)
+	c.Body = body
+	return u.Serve(ctx, c)
+}
+
+// checkRefused lets an instance send each of the responses to its first request and close
+// the connection. The outcome must be unknown, and the instance must not count as lost.
+func checkRefused(t *testing.T, texts map[string]string) {
+	t.Helper()
+	for what, text := range texts {
+		t.Run(what, func(t *testing.T) {
+			first := make(chan string, 1)
+			first <- text
+			u := instance(t, func(conn *net.TCPConn, in *bufio.Reader) {
+				if _, err := http.ReadRequest(in); err != nil {
+					return
+				}
+				select {
+				case text := <-first:
+					_, _ = io.WriteString(conn, text)
+				default:
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext")
+				}
+			})
+			if r := exchangeWithin(t, u, http.MethodGet, nil); r.Outcome != kernel.OutcomeUnknown || r.InstanceLost {
+				t.Errorf("%+v", r)
+			}
+			if r := exchangeWithin(t, u, http.MethodGet, nil); r.Outcome != kernel.OutcomeAnswered || string(r.Body) != "next" {
+				t.Errorf("the next call: %+v", r)
+			}
+		})
+	}
+}
+
+// framed returns the responses with each framing, alone and behind an interim response.
+func framed(heads map[string]string) map[string]string {
+	texts := map[string]string{}
+	for what, head := range heads {
+		for framing, end := range map[string]string{
+			"with a length": "Content-Length: 5\r\n\r\nwhole", "in chunks": "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+			"to the connection's end": "Connection: close\r\n\r\nwhole", "without a body": "Content-Length: 0\r\n\r\n",
+		} {
+			texts[what+", "+framing] = head + end
+			texts[what+" after an interim response, "+framing] = "HTTP/1.1 103 Early Hints\r\n\r\n" + head + end
+		}
+	}
+	return texts
+}
+
+// Guards against bytes that begin with no status line being passed on as the response to a
+// call.
+func TestInvalidStatusLineIsRefused(t *testing.T) {
+	checkRefused(t, framed(map[string]string{
+		"status 000":                     "HTTP/1.1 000 OK\r\n",
+		"status below 100":               "HTTP/1.1 099 OK\r\n",
+		"status with a sign":             "HTTP/1.1 +20 OK\r\n",
+		"status 600":                     "HTTP/1.1 600 OK\r\n",
+		"major version 0":                "HTTP/0.9 200 OK\r\n",
+		"major version 2":                "HTTP/2.0 200 OK\r\n",
+		"control byte in the reason":     "HTTP/1.1 200 O\x01K\r\n",
+		"upgrade that was not requested": "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n",
+	}))
+}
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gooseberryflow/gooseberryflow/internal/httpstrict"
 	"github.com/gooseberryflow/gooseberryflow/internal/statusline"
 	"github.com/gooseberryflow/gooseberryflow/kernel"
 	"github.com/gooseberryflow/gooseberryflow/retry"
@@ -49,7 +50,7 @@
 	}
 	return &upstream{
 		address:   address,
-		client:    &http.Client{Transport: transport, CheckRedirect: passRedirect},
+		client:    &http.Client{Transport: httpstrict.NewTransport(transport), CheckRedirect: passRedirect},
 		tokens:    &tokenTable{},
 		now:       now,
 		bodyLimit: bodyLimit,
@@ -152,6 +153,9 @@
 		return cancelledResult(ctx)
 	}
 	u.metrics.upstreamFailures.Add(1)
+	if errors.Is(err, httpstrict.ErrInvalid) {
+		return kernel.Unknown(kernel.ReasonUpstream, "the upstream's response was invalid")
+	}
 	r := kernel.Unknown(kernel.ReasonUpstream, "the upstream's response was incomplete: "+innermostCause(err))
 	r.InstanceLost = true
 	return r
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -1,11 +1,13 @@
 package upstream
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/gooseberryflow/gooseberryflow/internal/httpstrict"
 	"github.com/gooseberryflow/gooseberryflow/internal/memory"
 	"github.com/gooseberryflow/gooseberryflow/internal/statusline"
 )
@@ -79,9 +81,9 @@
 	c.limitReader.remaining = maxHeadBytes
 	c.progress.place = PlaceHead
 	for {
-		resp, err := http.ReadResponse(c.reader, nil)
+		resp, err := httpstrict.ReadResponse(c.reader)
 		if err != nil {
-			return nil, err
+			return nil, asMalformed(err)
 		}
 		if statusline.InHead(resp) {
 			return nil, errSpliced
@@ -111,6 +113,15 @@
 	}
 }
 
+// asMalformed marks the error of an invalid response. Other errors of a response may come
+// from an instance that is down.
+func asMalformed(err error) error {
+	if errors.Is(err, httpstrict.ErrInvalid) {
+		return fmt.Errorf("%w: %w", errMalformed, err)
+	}
+	return err
+}
+
 // readBody reads the body of a response. It doesn't close the body, since
 // net/http would then read on to its end.
 func (c *conn) readBody(resp *http.Response, r *Request, limits *Limits) ([]byte, error) {
