httpstrict: a response with a blank in a field name is not passed on

What callers saw: a response in whose head the name of a field holds a blank reached them with that line; "Content-Length : N" and "Transfer-Encoding : chunked" as a body that lasted to the connection's end, or with chunk lines in it.

Cause: net/http refuses all other bytes that are no token in a field name, but keeps names with blanks as they are, in final heads, interim heads and trailers. Such a name is not the one that the framing looks for.

Change: httpstrict tests each name with golang.org/x/net/http/httpguts (RFC 9110, 5.1): in the heads that ReadResponse returns, which in `upstream` are the interim ones, too, in the final and the interim heads of Transport, and in trailers once the body has been read. The response is refused as a whole: RFC 9112, 5.1, lets a proxy remove a blank before the colon, but then the framing of a message that has been parsed already would change. net/http leaves the number of interim responses to those who look at them; Transport allows 16.

Why it works: a name that passes is one that net/http has compared with the names of the framing, so a body is framed by what the instance sent.

--- a/internal/httpstrict/response.go
+++ b/internal/httpstrict/response.go
@@ -30,6 +30,17 @@
 }
 
 func checkHead(resp *http.Response) error {
+	if err := checkStatusLine(resp); err != nil {
+		return err
+	}
+	return checkNames(resp.Header)
+}
+
+// CheckTrailer returns an error that is ErrInvalid unless the trailer of a response is valid.
+// net/http sets the trailer once the body has been read to its end.
+func CheckTrailer(resp *http.Response) error { return checkNames(resp.Trailer) }
+
+func checkStatusLine(resp *http.Response) error {
 	switch {
 	case resp.ProtoMajor != 1:
 		return fmt.Errorf("%w: version %.*q", ErrInvalid, maxQuotedBytes, resp.Proto)
@@ -42,3 +53,12 @@
 	}
 	return nil
 }
+
+func checkNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field name %.*q", ErrInvalid, maxQuotedBytes, name)
+		}
+	}
+	return nil
+}
--- a/internal/httpstrict/transport.go
+++ b/internal/httpstrict/transport.go
@@ -1,13 +1,19 @@
 package httpstrict
 
 import (
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 )
 
-// Transport is an HTTP/1 client that refuses invalid responses. The error is ErrInvalid
-// then, and the connection is closed.
+// maxInterimResponses bounds the interim responses to one request.
+const maxInterimResponses = 16
+
+// Transport is an HTTP/1 client that refuses invalid responses. The errors of its responses
+// and of their bodies are ErrInvalid then, and the connection is closed.
 type Transport struct {
 	base *http.Transport
 }
@@ -29,16 +35,32 @@
 		x.abort(resp)
 		return nil, err
 	}
+	if resp.Body != http.NoBody {
+		resp.Body = &body{ReadCloser: resp.Body, resp: resp}
+	}
 	return resp, nil
 }
 
 // exchange is the state of one round trip.
 type exchange struct {
-	conn net.Conn
+	conn    net.Conn
+	interim int
 }
 
 func (x *exchange) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { x.conn = info.Conn }}
+	return &httptrace.ClientTrace{
+		GotConn:        func(info httptrace.GotConnInfo) { x.conn = info.Conn },
+		Got1xxResponse: x.checkInterim,
+	}
+}
+
+// checkInterim checks the head of an interim response. It counts them, since net/http leaves
+// their number to a caller that looks at them.
+func (x *exchange) checkInterim(_ int, h textproto.MIMEHeader) error {
+	if x.interim++; x.interim > maxInterimResponses {
+		return fmt.Errorf("%w: more than %d interim responses", ErrInvalid, maxInterimResponses)
+	}
+	return checkNames(http.Header(h))
 }
 
 // abort closes the connection of a response, also if net/http holds it for reuse already since
@@ -47,3 +69,20 @@
 	_ = x.conn.Close()
 	_ = resp.Body.Close()
 }
+
+// body checks the trailer at the end of a body.
+type body struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if invalid := CheckTrailer(b.resp); invalid != nil {
+			return n, invalid
+		}
+	}
+	return n, err
+}
--- a/node/invalid_test.go
+++ b/node/invalid_test.go
@@ -104,3 +104,18 @@
 		"upgrade that was not requested": "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n",
 	}))
 }
+
+// Guards against a response being passed on with a field that is none, or with a body that
+// is framed by other fields than the instance meant.
+func TestInvalidFieldIsRefused(t *testing.T) {
+	checkRefused(t, framed(map[string]string{
+		"blank within a name":                         "HTTP/1.1 200 OK\r\nX Other: b\r\n",
+		"blank before the colon":                      "HTTP/1.1 200 OK\r\nX-Other : b\r\n",
+		"blank before the colon of Content-Length":    "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n",
+		"blank before the colon of Transfer-Encoding": "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
+		"interim response with a blank in a name":     "HTTP/1.1 103 Early Hints\r\nX Other: b\r\n\r\nHTTP/1.1 200 OK\r\n",
+	}))
+	checkRefused(t, map[string]string{
+		"trailer field": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX Other: b\r\n\r\n",
+	})
+}
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -94,8 +94,11 @@
 		headAt := time.Now()
 		c.progress.place, c.progress.status, c.progress.responseID = PlaceBody, resp.StatusCode, resp.Header.Get(r.IDHeader)
 		body, err := c.readBody(resp, r, limits)
+		if err == nil {
+			err = httpstrict.CheckTrailer(resp)
+		}
 		if err != nil {
-			return nil, err
+			return nil, asMalformed(err)
 		}
 		sized := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 		if statusline.InHead(resp) || r.ID != "" && c.splicedBody(body, sized, http.CanonicalHeaderKey(r.IDHeader)) {
