httpstrict: a body without a length is incomplete if its connection is reset

What callers saw: an instance responded to a long upload at once, with a 200 that had no length, sent a part of the body and reset the connection while the upload was still being written. Callers got that part as the whole response.

Cause: Linux reports a reset once, to whichever of read and write asks first. The writer of the upload took ECONNRESET from the socket; the reader then got the queued bytes and an end of file, which without a length or chunks is the end of the body. `upstream` looked at the writer's error only to decide whether the connection is used again. In `node`, net/http's writer closes the connection after such an error, mostly before the reader is at the end.

Change: httpstrict.Conn is the connection of both clients. At an end of file it looks at the error of the writes; a write that is under way is ended first by a deadline. The end of file stands if there is no error, if the write was only waiting for room, or if the error is EPIPE, which a reset gives after the other side has ended in order. Any other error is returned in place of it. There is no further system call unless a write is under way at the end of a response.

Why it works: a read returns an end of file either because the other side has ended in order or because a write has taken the error before, so that this write returns it without waiting.

--- a/internal/httpstrict/doc.go
+++ b/internal/httpstrict/doc.go
@@ -11,7 +11,9 @@
 //     15.2.2);
 //   - a field name that is no token, in final heads, interim heads and trailers (RFC 9110,
 //     5.1): net/http keeps names with blanks as they are, so that a length or a transfer
-//     coding with a blank before its colon doesn't count.
+//     coding with a blank before its colon doesn't count;
+//   - the end of a connection that was reset, where the writer of the request has taken the
+//     error from the socket and the reader sees an end of file (Conn).
 //
 // Left as net/http does them, as the standard allows: a folded line counts as one blank
 // (RFC 9112, 5.2), a transfer coding overrides a length beside it (RFC 9112, 6.3), a later
--- a/internal/httpstrict/transport.go
+++ b/internal/httpstrict/transport.go
@@ -1,6 +1,7 @@
 package httpstrict
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -18,8 +19,22 @@
 	base *http.Transport
 }
 
-// NewTransport returns a Transport that uses base, which must not be used otherwise.
-func NewTransport(base *http.Transport) *Transport { return &Transport{base: base} }
+// NewTransport returns a Transport that uses base, which must not be used otherwise. A nil
+// DialContext stands for a plain dialer.
+func NewTransport(base *http.Transport) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(c), nil
+	}
+	return &Transport{base: base}
+}
 
 // CloseIdleConnections closes the connections that carry no request.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/node/invalid_test.go
+++ b/node/invalid_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -119,3 +121,37 @@
 		"trailer field": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX Other: b\r\n\r\n",
 	})
 }
+
+// Guards against a part of a body without a length being passed on as the whole: the
+// instance resets the connection while the call is still being written.
+func TestResetDuringUploadIsUnknown(t *testing.T) {
+	const tries = 12
+	for _, head := range []string{"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n"} {
+		for _, size := range []int{0, 64 << 10, 1 << 20, 8 << 20} {
+			for _, reset := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%.8s, %d KB, reset %t", head, size>>10, reset), func(t *testing.T) {
+					u := instance(t, func(conn *net.TCPConn, in *bufio.Reader) {
+						r, err := http.ReadRequest(in)
+						if err != nil {
+							return
+						}
+						_, _ = io.WriteString(conn, head+"body")
+						if reset {
+							_ = conn.SetLinger(0) // Close sends a reset
+							return
+						}
+						_ = conn.CloseWrite()
+						_, _ = io.Copy(io.Discard, r.Body)
+					})
+					body := bytes.Repeat([]byte("x"), size)
+					for range tries {
+						r := exchangeWithin(t, u, http.MethodPost, body)
+						if complete := r.Outcome == kernel.OutcomeAnswered && string(r.Body) == "body"; complete == reset || r.Outcome == kernel.OutcomeNotRun {
+							t.Errorf("%+v", r)
+						}
+					}
+				})
+			}
+		}
+	}
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -11,6 +11,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/gooseberryflow/gooseberryflow/internal/httpstrict"
 )
 
 const (
@@ -71,6 +73,7 @@
 // conn is a connection to the instance.
 type conn struct {
 	net         *net.TCPConn
+	strict      *httpstrict.Conn // requests are written to it, responses read from it
 	limitReader *limitReader
 	reader      *bufio.Reader
 	number      int64 // in the order in which the pool has opened its connections
@@ -81,8 +84,9 @@
 }
 
 func newConn(nc *net.TCPConn, number int64) *conn {
-	limited := &limitReader{source: nc}
-	return &conn{net: nc, number: number, limitReader: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), lastUsed: time.Now(), idleTimeout: defaultIdleTimeout}
+	strict := httpstrict.NewConn(nc)
+	limited := &limitReader{source: strict}
+	return &conn{net: nc, strict: strict, number: number, limitReader: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), lastUsed: time.Now(), idleTimeout: defaultIdleTimeout}
 }
 
 func (c *conn) close() { _ = c.net.Close() }
@@ -154,15 +158,15 @@
 	written := make(chan error, 1)
 	if len(head)+len(r.Body) > longRequestBytes {
 		go func() {
-			_, err := c.net.Write(head)
+			_, err := c.strict.Write(head)
 			if err == nil {
-				_, err = c.net.Write(r.Body)
+				_, err = c.strict.Write(r.Body)
 			}
 			written <- err
 		}()
 		return written, nil
 	}
-	_, err := c.net.Write(append(head, r.Body...))
+	_, err := c.strict.Write(append(head, r.Body...))
 	written <- err
 	return written, err
 }
