httpstrict: heads are bounded at 64 KB in the client of the own interface too

What callers would see: an instance that sends a head without end, or interim responses without end, makes the node beside it hold them; enough calls at once end the process, and the requests of other callers with it.

Cause: net/http's client bounds a head at 10 MB, in `node` the only client of instances with that default. `upstream` and the store's client have bounds of 64 KB.

Change: the transport of httpstrict, which `node` uses, bounds heads at 64 KB unless its user names another bound.

Why it works: the bound is that of the reader below the parser, for all that precedes the body.

--- a/internal/httpstrict/transport.go
+++ b/internal/httpstrict/transport.go
@@ -10,8 +10,12 @@
 	"net/textproto"
 )
 
-// maxInterimResponses bounds the interim responses to one request.
-const maxInterimResponses = 16
+const (
+	// maxHeadBytes bounds the head of a response of a transport that names no bound.
+	maxHeadBytes = 64 << 10
+	// maxInterimResponses bounds the interim responses to one request.
+	maxInterimResponses = 16
+)
 
 // Transport is an HTTP/1 client that refuses invalid responses. The errors of its responses
 // and of their bodies are ErrInvalid then, and the connection is closed.
@@ -20,7 +24,7 @@
 }
 
 // NewTransport returns a Transport that uses base, which must not be used otherwise. A nil
-// DialContext stands for a plain dialer.
+// DialContext stands for a plain dialer, a MaxResponseHeaderBytes of zero for 64 KiB.
 func NewTransport(base *http.Transport) *Transport {
 	dial := base.DialContext
 	if dial == nil {
@@ -33,6 +37,9 @@
 		}
 		return NewConn(c), nil
 	}
+	if base.MaxResponseHeaderBytes == 0 {
+		base.MaxResponseHeaderBytes = maxHeadBytes
+	}
 	return &Transport{base: base}
 }
 
