upstream, node: errors and reports quote little of a response

What callers saw: the product's own interface put the quoted text of what an instance had sent into the description of the failure, 246 KB for a line of 60 KB. Operators got it in each log line about it, and other nodes in results.

Cause: net/http's errors quote the line that they refuse as a whole, four times as long where it has control bytes; the ID of a response was kept and logged at any length. Up to 1,024 log lines wait for a slow reader of the log, whatever their length: at the 131 KB measured here 134 MB, with a memory limit of 256 to 284 MB for the process.

Change: httpstrict shortens the text of errors to 512 bytes, `upstream` the IDs in its reports to 128.

Why it works: all errors of reading a response pass one of three places (ReadResponse, Transport and its bodies, and upstream.asMalformed), and the shortened ones don't wrap the long ones.

--- a/internal/httpstrict/response.go
+++ b/internal/httpstrict/response.go
@@ -17,6 +17,7 @@
 	highestStatus = 599
 	// maxQuotedBytes bounds the part of a response that an error quotes.
 	maxQuotedBytes = 64
+	maxErrorBytes  = 512
 )
 
 // ReadResponse is http.ReadResponse, to a request that is not a HEAD request. The error is
@@ -24,11 +25,20 @@
 func ReadResponse(r *bufio.Reader) (*http.Response, error) {
 	resp, err := http.ReadResponse(r, nil)
 	if err != nil {
-		return nil, err
+		return nil, ShortenError(err)
 	}
 	return resp, checkHead(resp)
 }
 
+// ShortenError returns err, or an error with the beginning of its text if that is long. The
+// errors of net/http quote lines of a response as a whole.
+func ShortenError(err error) error {
+	if text := err.Error(); len(text) > maxErrorBytes {
+		return errors.New(text[:maxErrorBytes] + "...")
+	}
+	return err
+}
+
 func checkHead(resp *http.Response) error {
 	if err := checkStatusLine(resp); err != nil {
 		return err
--- a/internal/httpstrict/transport.go
+++ b/internal/httpstrict/transport.go
@@ -51,7 +51,7 @@
 	x := &exchange{}
 	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), x.trace())))
 	if err != nil {
-		return nil, err
+		return nil, ShortenError(err)
 	}
 	if err := checkHead(resp); err != nil {
 		x.abort(resp)
@@ -101,10 +101,14 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
+	switch err {
+	case nil:
+		return n, nil
+	case io.EOF:
 		if invalid := CheckTrailer(b.resp); invalid != nil {
 			return n, invalid
 		}
+		return n, io.EOF
 	}
-	return n, err
+	return n, ShortenError(err)
 }
--- a/upstream/failure.go
+++ b/upstream/failure.go
@@ -77,7 +77,7 @@
 	return Failure{
 		RequestID: r.ID, Cause: c.causeOf(ctx, err), Err: err, Conn: c.number, Requests: len(c.history.hashes),
 		Skipped: c.progress.skipped, BytesRead: c.limitReader.bytes, Place: c.progress.place,
-		Status: c.progress.status, ResponseID: c.progress.responseID, Waiting: time.Since(c.history.last),
+		Status: c.progress.status, ResponseID: shortID(c.progress.responseID), Waiting: time.Since(c.history.last),
 	}
 }
 
--- a/upstream/history.go
+++ b/upstream/history.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,6 +63,13 @@
 	Waiting time.Duration
 }
 
+// maxShownIDBytes bounds the IDs of responses that are kept for reports.
+const maxShownIDBytes = 128
+
+// shortID returns the beginning of an ID that an instance has sent, as a copy: a part of the
+// string would keep the whole.
+func shortID(id string) string { return strings.Clone(id[:min(len(id), maxShownIDBytes)]) }
+
 // Origin is the request that a skipped response names.
 type Origin string
 
@@ -94,7 +102,7 @@
 func (c *conn) mismatch(r *Request, resp *Response) Mismatch {
 	id := resp.Header.Get(r.IDHeader)
 	return Mismatch{
-		RequestID: r.ID, ResponseID: id, Status: resp.Status, Conn: c.number, Requests: len(c.history.hashes),
+		RequestID: r.ID, ResponseID: shortID(id), Status: resp.Status, Conn: c.number, Requests: len(c.history.hashes),
 		Earlier: id != "" && c.history.holds(hashID(id)), Waiting: resp.HeadAt.Sub(c.history.last),
 	}
 }
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -122,7 +122,7 @@
 	if errors.Is(err, httpstrict.ErrInvalid) {
 		return fmt.Errorf("%w: %w", errMalformed, err)
 	}
-	return err
+	return httpstrict.ShortenError(err)
 }
 
 // readBody reads the body of a response. It doesn't close the body, since
