platform, streamlog, gooseberryctl: invalid responses of the store, the log and nodes are refused

What operators would see: records read, writes confirmed or changes made by bytes that are no response; a 4xx of the product's log with a blank in a field name proved "not written".

Change: they use httpstrict.Transport. That bounds the heads that `streamlog` and `gooseberryctl` read, too: 10 MB before, 64 KB now.

Why it works: it is the transport under all calls of these clients.

--- a/cmd/gooseberryctl/fleet.go
+++ b/cmd/gooseberryctl/fleet.go
@@ -15,6 +15,7 @@
 
 	api "github.com/gooseberryflow/gooseberryflow/admin/gen/admin"
 	apiclient "github.com/gooseberryflow/gooseberryflow/admin/gen/http/admin/client"
+	"github.com/gooseberryflow/gooseberryflow/internal/httpstrict"
 )
 
 const (
@@ -53,7 +54,7 @@
 
 func newClient(address string) *api.Client {
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
-	doer := &http.Client{Transport: transport, Timeout: attemptTimeout}
+	doer := &http.Client{Transport: httpstrict.NewTransport(transport), Timeout: attemptTimeout}
 	c := apiclient.NewClient("http", address, doer, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
 	return api.NewClient(c.GetConfig(), c.Apply(), c.GetChange(), c.ListKeys(), c.IssueKey(), c.WithdrawKey(),
 		c.Status(), c.Drain(), c.Remove(), c.ReportBurn(), c.Health())
--- a/cmd/gooseberryctl/nodes.go
+++ b/cmd/gooseberryctl/nodes.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/gooseberryflow/gooseberryflow/internal/httpstrict"
 )
 
 const nodesHelp = `Reads the metrics of nodes that follow a keyed store and writes the state of
@@ -31,6 +33,9 @@
 	columnPadding = 2
 )
 
+// metricsClient reads the metrics of nodes.
+var metricsClient = httpstrict.NewClient()
+
 // nodeView is the state of a node as its metrics report it.
 type nodeView struct {
 	Address          string `json:"address"`
@@ -124,7 +129,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := metricsClient.Do(req)
 	if err != nil {
 		return err
 	}
--- a/cmd/gooseberryflowd/main.go
+++ b/cmd/gooseberryflowd/main.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net/http"
 	"os"
 	"os/signal"
 
@@ -103,7 +102,7 @@
 }
 
 func serveOnce(ctx context.Context, s *settings.Settings, logger *slog.Logger) error {
-	log := streamlog.NewHTTPLog("http://"+s.Platform.Address.String(), s.Platform.Stream, &http.Client{})
+	log := streamlog.NewHTTPLog("http://"+s.Platform.Address.String(), s.Platform.Stream, nil)
 	n, err := node.New(nodeSettings(s), log, logger)
 	if err != nil {
 		return err
--- a/internal/httpstrict/transport.go
+++ b/internal/httpstrict/transport.go
@@ -43,6 +43,11 @@
 	return &Transport{base: base}
 }
 
+// NewClient returns a client with a Transport that has the settings of http.DefaultTransport.
+func NewClient() *http.Client {
+	return &http.Client{Transport: NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
+}
+
 // CloseIdleConnections closes the connections that carry no request.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
--- a/streamlog/http.go
+++ b/streamlog/http.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+
+	"github.com/gooseberryflow/gooseberryflow/internal/httpstrict"
 )
 
 // MaxPageBytes bounds the response to a read.
@@ -25,6 +27,9 @@
 // ErrBadResponse reports an invalid response from the log service.
 var ErrBadResponse = errors.New("invalid response from the log service")
 
+// defaultClient is used if the caller of NewHTTPLog has none.
+var defaultClient = httpstrict.NewClient()
+
 // HTTPLog is a client of a Log over HTTP. It is safe for concurrent use.
 type HTTPLog struct {
 	endpoint string
@@ -33,11 +38,11 @@
 
 var _ Log = (*HTTPLog)(nil)
 
-// NewHTTPLog returns the client of one stream below the service's base URL. The
-// caller sets timeouts by context.
+// NewHTTPLog returns the client of one stream below the service's base URL. A nil HTTP client
+// stands for one that refuses invalid responses. The caller sets timeouts by context.
 func NewHTTPLog(baseURL, stream string, client *http.Client) *HTTPLog {
 	if client == nil {
-		client = http.DefaultClient
+		client = defaultClient
 	}
 	endpoint := strings.TrimSuffix(baseURL, "/") + "/streams/" + url.PathEscape(stream) + "/records"
 	return &HTTPLog{endpoint: endpoint, client: client}
