gooseberryctl: the body of a node's response is bounded

What operators would see: a node, or what listens at its address, that sends a body without end makes the tool run out of memory, or print it.

Cause: goa's client reads a body to its end and puts one with an unknown status into the text of the error; only the time-out of 10 s ended that.

Change: a body ends with an error at 8 MB (the API takes requests up to 1 MB), and the errors of attempts are shortened. A change that was cut off so counts as of unknown outcome, as before.

--- a/cmd/gooseberryctl/fleet.go
+++ b/cmd/gooseberryctl/fleet.go
@@ -22,6 +22,8 @@
 	dialTimeout = 2 * time.Second
 	// attemptTimeout bounds one request to one node.
 	attemptTimeout = 10 * time.Second
+	// maxResponseBytes bounds the body of a node's response.
+	maxResponseBytes = 8 << 20
 )
 
 // fleet lists the nodes to which the tool may send requests, in order of
@@ -54,12 +56,25 @@
 
 func newClient(address string) *api.Client {
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
-	doer := &http.Client{Transport: httpstrict.NewTransport(transport), Timeout: attemptTimeout}
+	doer := &http.Client{Transport: boundedTransport{httpstrict.NewTransport(transport)}, Timeout: attemptTimeout}
 	c := apiclient.NewClient("http", address, doer, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
 	return api.NewClient(c.GetConfig(), c.Apply(), c.GetChange(), c.ListKeys(), c.IssueKey(), c.WithdrawKey(),
 		c.Status(), c.Drain(), c.Remove(), c.ReportBurn(), c.Health())
 }
 
+// boundedTransport bounds the bodies of responses to maxResponseBytes.
+type boundedTransport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t boundedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.RoundTripper.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = http.MaxBytesReader(nil, resp.Body, maxResponseBytes)
+	return resp, nil
+}
+
 // outcome is what is known about a request after one attempt at one node, in
 // ascending order of severity.
 type outcome int
@@ -110,7 +125,7 @@
 		if o == answered && (err == nil || worstOutcome != maybeExecuted) {
 			return result, finalError(n.address, err)
 		}
-		causes = append(causes, fmt.Errorf("%s: %w", n.address, err))
+		causes = append(causes, fmt.Errorf("%s: %w", n.address, httpstrict.ShortenError(err)))
 		worstOutcome = max(worstOutcome, o)
 	}
 	return none, &exitError{worstOutcome.exitCode(), errors.Join(causes...)}
--- a/cmd/gooseberryctl/invalid_test.go
+++ b/cmd/gooseberryctl/invalid_test.go
@@ -6,19 +6,22 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 )
 
-// rawNode starts a node that sends the same bytes in response to each request. It returns the
-// node's address.
-func rawNode(t *testing.T, response string) string {
+// rawNode starts a node that sends the same bytes in response to each request, and then again
+// without end unless that is empty. It returns the node's address.
+func rawNode(t *testing.T, response, again string) string {
 	t.Helper()
+	const endlessBytes = 256 << 20
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
+	block := strings.Repeat(again, 1<<12)
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -32,7 +35,10 @@
 					return
 				}
 				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(conn, response)
+				_, err = io.WriteString(conn, response)
+				for n := 0; again != "" && err == nil && n < endlessBytes; n += len(block) {
+					_, err = io.WriteString(conn, block)
+				}
 			}()
 		}
 	}()
@@ -65,15 +71,46 @@
 		if what == "valid" {
 			want = exitOK
 		}
-		if text, code := runTool(t, "nodes", rawNode(t, head+metrics)); code != want {
+		if text, code := runTool(t, "nodes", rawNode(t, head+metrics, "")); code != want {
 			t.Errorf("%s: nodes: exit code %d\n%s", what, code, text)
 		}
 		want = exitUnknown // the change may be in force
 		if what == "valid" {
 			want = exitOK
 		}
-		if text, code := runTool(t, "drain", "--admin", rawNode(t, strings.Replace(head, "200 OK", "204 No Content", 1)+change), "m"); code != want {
+		if text, code := runTool(t, "drain", "--admin", rawNode(t, strings.Replace(head, "200 OK", "204 No Content", 1)+change, ""), "m"); code != want {
 			t.Errorf("%s: drain: exit code %d\n%s", what, code, text)
 		}
 	}
 }
+
+// Guards against a tool that runs out of memory, or prints what it has read, since a node
+// sends a response without end.
+func TestResponseOfNodeWithoutEndIsBounded(t *testing.T) {
+	const (
+		maxAllocBytes = 16 * maxResponseBytes // io.ReadAll grows its buffer by a quarter at a time
+		maxTextBytes  = 4 << 10
+		ok            = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+	)
+	for what, c := range map[string]struct{ first, again string }{
+		"header fields":     {ok, "X-More: more\r\n"},
+		"interim responses": {"", "HTTP/1.1 103 Early Hints\r\nLink: more\r\n\r\n"},
+		"body":              {ok + "Connection: close\r\n\r\n\"", "more"},
+		"unknown error":     {"HTTP/1.1 418 Teapot\r\nConnection: close\r\n\r\n", "more"},
+		"known error":       {"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n\r\n\"", "more"},
+	} {
+		address := rawNode(t, c.first, c.again)
+		for _, args := range [][]string{{"nodes", address}, {"status", "--admin", address}} {
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			text, code := runTool(t, args...)
+			runtime.ReadMemStats(&after)
+			if code == exitOK || len(text) > maxTextBytes {
+				t.Errorf("%s, %s: exit code %d, %d bytes of text", what, args[0], code, len(text))
+			}
+			if cost := after.TotalAlloc - before.TotalAlloc; cost > maxAllocBytes {
+				t.Errorf("%s, %s: %d MB allocated", what, args[0], cost>>20)
+			}
+		}
+	}
+}
