httpstrict: an HTTP/1.0 response with a transfer coding is not passed on

What callers would see: a body that isn't the instance's, with the lines of its chunks in it, as from "Transfer-Encoding : chunked".

Cause: net/http drops the field from HTTP/1.0 messages and reads the chunks as a body with a length or to the connection's end. RFC 9112, 6.1: the framing of such a message is faulty.

Change: httpstrict.Conn collects a head that begins with this version where a read begins, and returns ErrInvalid if it names a transfer coding. Other reads cost a comparison of nine bytes. Not recognised: such a head behind an interim response that arrives with it, or one whose first nine bytes arrive in two reads.

--- a/internal/httpstrict/conn.go
+++ b/internal/httpstrict/conn.go
@@ -20,6 +20,7 @@
 	net.Conn
 	mu       sync.Mutex // held during a write
 	writeErr error      // the first one
+	oldHead  oldHead
 }
 
 // NewConn returns a connection that reads from c and writes to it. Nothing else may do so
@@ -38,12 +39,16 @@
 }
 
 // Read implements net.Conn. In place of io.EOF it returns the error of a write that has taken
-// the reset of the connection. At an end of file it ends a write that is under way.
+// the reset of the connection. At an end of file it ends a write that is under way. The error
+// is ErrInvalid at the end of the head of an HTTP/1.0 response with a transfer coding.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err == io.EOF {
 		err = c.endError()
 	}
+	if invalid := c.oldHead.add(p[:n]); invalid != nil {
+		return 0, invalid
+	}
 	return n, err
 }
 
--- a/internal/httpstrict/doc.go
+++ b/internal/httpstrict/doc.go
@@ -12,6 +12,8 @@
 //   - a field name that is no token, in final heads, interim heads and trailers (RFC 9110,
 //     5.1): net/http keeps names with blanks as they are, so that a length or a transfer
 //     coding with a blank before its colon doesn't count;
+//   - an HTTP/1.0 response with a transfer coding (RFC 9112, 6.1), which net/http ignores, so
+//     that the chunks become the body;
 //   - the end of a connection that was reset, where the writer of the request has taken the
 //     error from the socket and the reader sees an end of file (Conn).
 //
--- a/upstream/invalid_test.go
+++ b/upstream/invalid_test.go
@@ -88,6 +88,12 @@
 	for what, field := range map[string]string{"blank within": "X Other: b", "blank before the colon of": "X-Other : b", "control byte in": "X\x01: b"} {
 		texts[what+" the name of a trailer field"] = "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" + field + "\r\n\r\n"
 	}
+	for what, fields := range map[string]string{
+		"alone": "X-Id: a\r\nTransfer-Encoding: chunked\r\n", "beside a length": "X-Id: a\r\ntransfer-encoding:chunked\r\nContent-Length: 15\r\n",
+		"with a blank": "X-Id: a\r\nTransfer-Encoding : chunked\r\n", "before the ID": "Transfer-Encoding: chunked\r\nX-Id: a\r\n",
+	} {
+		texts["transfer coding of HTTP/1.0, "+what] = "HTTP/1.0 200 OK\r\n" + fields + "\r\n5\r\nwhole\r\n0\r\n\r\n"
+	}
 	checkRefused(t, texts)
 }
 
