httpstrict: the request after a refused response doesn't fail

What callers would see: a 502 for a call to an instance that works, and that counted as lost, right after another call got an invalid response without a body; a response with an invalid trailer left its connection in use.

Cause: net/http holds a connection for reuse as soon as it has read a response without a body. Transport closed it by itself then; until net/http noticed, the next call could get it.

Change: the idle connections are closed through net/http, which takes them out of use at once, also after an invalid trailer.

TestRefusedResponseClosesItsConnection with the case of a trailer failed before (one connection for 20 requests). Several calls at once: a call that has got the connection in between goes on, and its response is checked as any other.

--- a/internal/httpstrict/transport.go
+++ b/internal/httpstrict/transport.go
@@ -53,54 +53,44 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	x := &exchange{}
-	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), x.trace())))
+	trace := &httptrace.ClientTrace{Got1xxResponse: (&interimCheck{}).check}
+	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, ShortenError(err)
 	}
 	if err := checkHead(resp); err != nil {
-		x.abort(resp)
+		_ = resp.Body.Close()
+		t.closeIdle()
 		return nil, err
 	}
 	if resp.Body != http.NoBody {
-		resp.Body = &body{ReadCloser: resp.Body, resp: resp}
+		resp.Body = &body{ReadCloser: resp.Body, resp: resp, transport: t}
 	}
 	return resp, nil
 }
 
-// exchange is the state of one round trip.
-type exchange struct {
-	conn    net.Conn
-	interim int
-}
+// closeIdle closes the idle connections, among them that of a refused response: net/http keeps
+// it for reuse once the response has been read. If it were closed alone, the next request
+// could still get it, and fail.
+func (t *Transport) closeIdle() { t.base.CloseIdleConnections() }
 
-func (x *exchange) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{
-		GotConn:        func(info httptrace.GotConnInfo) { x.conn = info.Conn },
-		Got1xxResponse: x.checkInterim,
-	}
-}
+// interimCheck checks the interim responses to one request.
+type interimCheck struct{ count int }
 
-// checkInterim checks the head of an interim response. It counts them, since net/http leaves
-// their number to a caller that looks at them.
-func (x *exchange) checkInterim(_ int, h textproto.MIMEHeader) error {
-	if x.interim++; x.interim > maxInterimResponses {
+// check checks the head of an interim response. It counts them, since net/http leaves their
+// number to a caller that looks at them.
+func (c *interimCheck) check(_ int, h textproto.MIMEHeader) error {
+	if c.count++; c.count > maxInterimResponses {
 		return fmt.Errorf("%w: more than %d interim responses", ErrInvalid, maxInterimResponses)
 	}
 	return checkNames(http.Header(h))
 }
 
-// abort closes the connection of a response, also if net/http holds it for reuse already since
-// the response has no body.
-func (x *exchange) abort(resp *http.Response) {
-	_ = x.conn.Close()
-	_ = resp.Body.Close()
-}
-
 // body checks the trailer at the end of a body.
 type body struct {
 	io.ReadCloser
-	resp *http.Response
+	resp      *http.Response
+	transport *Transport
 }
 
 // Read implements io.Reader.
@@ -111,6 +101,7 @@
 		return n, nil
 	case io.EOF:
 		if invalid := CheckTrailer(b.resp); invalid != nil {
+			b.transport.closeIdle()
 			return n, invalid
 		}
 		return n, io.EOF
--- a/internal/httpstrict/transport_test.go
+++ b/internal/httpstrict/transport_test.go
@@ -58,14 +58,15 @@
 }
 
 // Guards against a connection being used again after a response on it was refused, also where
-// net/http takes the response for complete.
+// net/http takes the response for complete, and against the next request failing on it.
 func TestRefusedResponseClosesItsConnection(t *testing.T) {
-	const requests = 3
+	const requests = 20
 	for what, response := range map[string]string{
 		"status":       "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
 		"name":         "HTTP/1.1 200 OK\r\nX Other: b\r\nContent-Length: 0\r\n\r\n",
 		"interim name": "HTTP/1.1 103 Early Hints\r\nX Other: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 		"with a body":  "HTTP/1.1 000 OK\r\nContent-Length: 1\r\n\r\na",
+		"trailer":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX Other: b\r\n\r\n",
 		"upgrade":      "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n",
 	} {
 		url, conns := serveRaw(t, response)
