soak: the check of the retry budget is shown to fail on a fast machine, too

TestChecksFailWithoutMechanisms/unbounded_retries failed on as well, in three of three runs alone on this machine (x86-64, 8 cores): "found no violation". The bound of the check grows with the requests that callers send; those beyond a customer's rate are refused at once, are never retried, and callers of a fast machine send many more of them: 4,249 of 37,852 were served.

The case now sets a rate that isn't reached, so that every request meets the instances that reject and is retried without bound. Check and bound are as they were. It passes alone (twice), and with the other cases under the race detector (once).

--- a/soak/mechanisms_test.go
+++ b/soak/mechanisms_test.go
@@ -23,6 +23,7 @@
 		}, []event{{kind: "change", start: 6 * time.Second}}},
 		{"unbounded retries", "budget", func(o *options) {
 			o.plugins, o.retryRatio, o.retrySlack, o.callers = allPlugins, 1, 100_000, manyCallers
+			o.rate *= 100 // requests beyond a rate count for the check, but are not retried
 		}, []event{
 			{kind: "rejects", node: 0, duration: 6 * time.Second}, {kind: "rejects", node: 2, duration: 6 * time.Second},
 			{kind: "rejects", node: 4, duration: 6 * time.Second}, {kind: "rejects", node: 1, duration: 6 * time.Second},
