--- a/cmd/gooseberryctl/invalid_test.go
+++ b/cmd/gooseberryctl/invalid_test.go
@@ -1,48 +1,19 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
-	"io"
-	"net"
-	"net/http"
 	"runtime"
 	"strings"
 	"testing"
+
+	"github.com/gooseberryflow/gooseberryflow/internal/rawserver"
 )
 
 // rawNode starts a node that sends the same bytes in response to each request, and then again
 // without end unless that is empty. It returns the node's address.
 func rawNode(t *testing.T, response, again string) string {
 	t.Helper()
-	const endlessBytes = 256 << 20
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	block := strings.Repeat(again, 1<<12)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, err = io.WriteString(conn, response)
-				for n := 0; again != "" && err == nil && n < endlessBytes; n += len(block) {
-					_, err = io.WriteString(conn, block)
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
+	return rawserver.Start(t, rawserver.Respond(response, again))
 }
 
 // runTool runs the tool with the arguments and returns what it prints to either stream.
--- a/internal/httpstrict/conn.go
+++ b/internal/httpstrict/conn.go
@@ -20,7 +20,7 @@
 	net.Conn
 	mu       sync.Mutex // held during a write
 	writeErr error      // the first one
-	oldHead  oldHead
+	http10   http10Head
 }
 
 // NewConn returns a connection that reads from c and writes to it. Nothing else may do so
@@ -46,7 +46,7 @@
 	if err == io.EOF {
 		err = c.endError()
 	}
-	if invalid := c.oldHead.add(p[:n]); invalid != nil {
+	if invalid := c.http10.add(p[:n]); invalid != nil {
 		return 0, invalid
 	}
 	return n, err
--- a/internal/httpstrict/version.go
+++ b/internal/httpstrict/http10.go
@@ -6,20 +6,22 @@
 )
 
 var (
-	oldVersion = []byte("HTTP/1.0 ")
-	lineEnd    = []byte("\n")
+	http10Prefix = []byte("HTTP/1.0 ")
+	lineEnd      = []byte("\n")
 )
 
-// oldHead collects the head of an HTTP/1.0 response. Such a response must not name a transfer
-// coding; net/http drops the field and takes the chunks for the body.
-type oldHead struct {
+// http10Head collects the head of an HTTP/1.0 response. Such a response must not name a transfer
+// coding (RFC 9112, 6.1); net/http drops the field and takes the chunks for the body. A head
+// is recognised where a read begins with its version, not behind an interim response that
+// arrives with it.
+type http10Head struct {
 	text []byte // nil unless a head has begun
 }
 
 // add adds the bytes of one read. The error is ErrInvalid if they complete a head that names a
 // transfer coding.
-func (h *oldHead) add(p []byte) error {
-	if h.text == nil && !bytes.HasPrefix(p, oldVersion) {
+func (h *http10Head) add(p []byte) error {
+	if h.text == nil && !bytes.HasPrefix(p, http10Prefix) {
 		return nil
 	}
 	h.text = append(h.text, p...)
--- a/internal/httpstrict/version_test.go
+++ b/internal/httpstrict/http10_test.go
@@ -8,7 +8,7 @@
 
 // The head of an HTTP/1.0 response is recognised wherever its reads end, and nothing else is
 // taken for one.
-func TestTransferCodingOfOldVersion(t *testing.T) {
+func TestTransferCodingOfHTTP10(t *testing.T) {
 	for text, invalid := range map[string]bool{
 		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n": true,
 		"HTTP/1.0 200 OK\nX: a\ntransfer-encoding: x\n\n":                              true,
@@ -17,9 +17,9 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":                        false,
 		"body, HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":                  false,
 	} {
-		for first := len(oldVersion); first < len(text); first++ {
+		for first := len(http10Prefix); first < len(text); first++ {
 			for _, size := range []int{1, 7, len(text)} {
-				var h oldHead
+				var h http10Head
 				err := h.add([]byte(text[:first]))
 				for rest := text[first:]; rest != "" && err == nil; {
 					n := min(size, len(rest))
@@ -32,7 +32,7 @@
 			}
 		}
 	}
-	var h oldHead
+	var h http10Head
 	if err := h.add([]byte("HTTP/1.0 " + strings.Repeat("a", maxHeadBytes))); err != nil || h.text != nil {
 		t.Errorf("a long line: %v, %d bytes held", err, len(h.text))
 	}
--- a/internal/httpstrict/response.go
+++ b/internal/httpstrict/response.go
@@ -17,17 +17,22 @@
 	highestStatus = 599
 	// maxQuotedBytes bounds the part of a response that an error quotes.
 	maxQuotedBytes = 64
-	maxErrorBytes  = 512
+	// maxErrorBytes bounds the text of an error of net/http, which may quote a whole head.
+	maxErrorBytes = 512
 )
 
-// ReadResponse is http.ReadResponse, to a request that is not a HEAD request. The error is
-// ErrInvalid if net/http accepts a head, final or interim, that is invalid.
+// ReadResponse reads the head of a response, final or interim, with http.ReadResponse. A
+// response to a HEAD request has no body, whatever resp.Body is. The error is ErrInvalid if
+// net/http accepts the head although it is invalid.
 func ReadResponse(r *bufio.Reader) (*http.Response, error) {
 	resp, err := http.ReadResponse(r, nil)
 	if err != nil {
 		return nil, ShortenError(err)
 	}
-	return resp, checkHead(resp)
+	if err := checkHead(resp); err != nil {
+		return nil, err
+	}
+	return resp, nil
 }
 
 // ShortenError returns err, or an error with the beginning of its text if that is long. The
--- a/internal/httpstrict/transport_test.go
+++ b/internal/httpstrict/transport_test.go
@@ -11,40 +11,26 @@
 	"testing"
 
 	"github.com/gooseberryflow/gooseberryflow/internal/httpstrict"
+	"github.com/gooseberryflow/gooseberryflow/internal/rawserver"
 )
 
 // serveRaw starts a server that sends the same bytes in response to each request and keeps
 // its connections open. It returns the server's URL and the number of connections.
 func serveRaw(t *testing.T, response string) (url string, conns *atomic.Int64) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
 	conns = new(atomic.Int64)
-	go func() {
+	address := rawserver.Start(t, func(conn *net.TCPConn, in *bufio.Reader) {
+		conns.Add(1)
 		for {
-			conn, err := l.Accept()
+			r, err := http.ReadRequest(in)
 			if err != nil {
 				return
 			}
-			conns.Add(1)
-			go func() {
-				defer func() { _ = conn.Close() }()
-				in := bufio.NewReader(conn)
-				for {
-					r, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					_, _ = io.WriteString(conn, response)
-				}
-			}()
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(conn, response)
 		}
-	}()
-	return "http://" + l.Addr().String(), conns
+	})
+	return "http://" + address, conns
 }
 
 func get(client *http.Client, url string) (string, error) {
--- a/node/invalid_test.go
+++ b/node/invalid_test.go
@@ -11,30 +11,14 @@
 	"testing"
 	"time"
 
+	"github.com/gooseberryflow/gooseberryflow/internal/rawserver"
 	"github.com/gooseberryflow/gooseberryflow/kernel"
 )
 
 // instance starts a server that serves each connection with serve, and returns its client.
 func instance(t *testing.T, serve func(conn *net.TCPConn, in *bufio.Reader)) *upstream {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				serve(conn.(*net.TCPConn), bufio.NewReader(conn))
-			}()
-		}
-	}()
-	return newUpstream(l.Addr().String(), testBodyLimit, time.Now, newMetrics())
+	return newUpstream(rawserver.Start(t, serve), testBodyLimit, time.Now, newMetrics())
 }
 
 const callLimit = 10 * time.Second
--- a/streamlog/invalid_test.go
+++ b/streamlog/invalid_test.go
@@ -1,15 +1,11 @@
 package streamlog_test
 
 import (
-	"bufio"
 	"errors"
-	"io"
-	"net"
-	"net/http"
 	"runtime"
-	"strings"
 	"testing"
 
+	"github.com/gooseberryflow/gooseberryflow/internal/rawserver"
 	"github.com/gooseberryflow/gooseberryflow/streamlog"
 )
 
@@ -17,34 +13,7 @@
 // call, and then again without end unless that is empty.
 func rawLog(t *testing.T, response, again string) *streamlog.HTTPLog {
 	t.Helper()
-	const endlessBytes = 64 << 20
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	block := strings.Repeat(again, 1<<12)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, err = io.WriteString(conn, response)
-				for n := 0; again != "" && err == nil && n < endlessBytes; n += len(block) {
-					_, err = io.WriteString(conn, block)
-				}
-			}()
-		}
-	}()
-	return streamlog.NewHTTPLog("http://"+l.Addr().String(), "control", nil)
+	return streamlog.NewHTTPLog("http://"+rawserver.Start(t, rawserver.Respond(response, again)), "control", nil)
 }
 
 // Guards against a record that counts as written, or as certainly not written, and a page
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -116,8 +116,8 @@
 	}
 }
 
-// asMalformed marks the error of an invalid response. Other errors of a response may come
-// from an instance that is down.
+// asMalformed marks the error of an invalid response and shortens others, which may come from
+// an instance that is down.
 func asMalformed(err error) error {
 	if errors.Is(err, httpstrict.ErrInvalid) {
 		return fmt.Errorf("%w: %w", errMalformed, err)
