--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -20,7 +20,7 @@
 // startInstance starts a server that calls answer for each request, with n
 // counting the requests from 1, and returns a pool for it. If answer returns
 // false, the server closes the connection.
-func startInstance(t *testing.T, answer func(conn net.Conn, r *http.Request, n int) bool) *Pool {
+func startInstance(t testing.TB, answer func(conn net.Conn, r *http.Request, n int) bool) *Pool {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
