--- a/node/invalid_test.go
+++ b/node/invalid_test.go
@@ -102,8 +102,9 @@
 		"interim response with a blank in a name":     "HTTP/1.1 103 Early Hints\r\nX Other: b\r\n\r\nHTTP/1.1 200 OK\r\n",
 	}))
 	checkRefused(t, map[string]string{
-		"transfer coding of HTTP/1.0": "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
-		"trailer field":               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX Other: b\r\n\r\n",
+		"transfer coding of HTTP/1.0":                           "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"transfer coding of HTTP/1.0 after an interim response": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"trailer field": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX Other: b\r\n\r\n",
 	})
 }
 
--- a/upstream/invalid_test.go
+++ b/upstream/invalid_test.go
@@ -92,7 +92,9 @@
 		"alone": "X-Id: a\r\nTransfer-Encoding: chunked\r\n", "beside a length": "X-Id: a\r\ntransfer-encoding:chunked\r\nContent-Length: 15\r\n",
 		"with a blank": "X-Id: a\r\nTransfer-Encoding : chunked\r\n", "before the ID": "Transfer-Encoding: chunked\r\nX-Id: a\r\n",
 	} {
-		texts["transfer coding of HTTP/1.0, "+what] = "HTTP/1.0 200 OK\r\n" + fields + "\r\n5\r\nwhole\r\n0\r\n\r\n"
+		text := "HTTP/1.0 200 OK\r\n" + fields + "\r\n5\r\nwhole\r\n0\r\n\r\n"
+		texts["transfer coding of HTTP/1.0, "+what] = text
+		texts["transfer coding of HTTP/1.0 after an interim response, "+what] = "HTTP/1.1 100 Continue\r\n\r\n" + text
 	}
 	checkRefused(t, texts)
 }
