surge: the fair share counts requests by their response

Cause, of the goodput: the test counted requests that were sent after the warm-up. Those that wait in a queue when the warm-up ends use the capacity after it and were not counted.

Change: a request counts if its response comes between the warm-up and the end of the load, as the comment on runShare said. Responses after the end, which counted before, don't.

--- a/internal/surge/share_test.go
+++ b/internal/surge/share_test.go
@@ -20,9 +20,10 @@
 	minFairShare   = 0.9
 )
 
-// runShare returns the number of successful requests of each customer after the
-// warm-up. Customer 0 sends ten times as many requests as each of the others.
-// The demand of every customer exceeds its fair share of the deep service.
+// runShare returns the number of requests of each customer that succeed between the warm-up
+// and the end of the load, whenever they were sent. Customer 0 sends ten times as many
+// requests as each of the others. The demand of every customer exceeds its fair share of
+// the deep service.
 func runShare(t *testing.T, seed uint64, plugins []string) [smallCustomers + 1]float64 {
 	var answered [smallCustomers + 1]float64
 	synctest.Test(t, func(t *testing.T) {
@@ -35,9 +36,9 @@
 		var mu sync.Mutex
 		for time.Since(started) < shareRunTime {
 			customer := max(rng.IntN(smallCustomers+10)-9, 0)
-			counted := time.Since(started) >= shareWarmUp
 			requests.Go(func() {
-				if f.sendOnce(fmt.Sprint("customer", customer), config.PriorityNormal) && counted {
+				succeeded := f.sendOnce(fmt.Sprint("customer", customer), config.PriorityNormal)
+				if at := time.Since(started); succeeded && at >= shareWarmUp && at < shareRunTime {
 					mu.Lock()
 					answered[customer]++
 					mu.Unlock()
