directory: the test of the store's reads waits until all nodes have decided who reads

Callers saw nothing: the test's start was wrong, not the product.

Cause: nodes that start together pull for the first time after 500 ms and learn of each other after 600 ms, when the followers of the members have settled. Up to then every node reads, as it should, and each becomes a reader at its own first pull. The test went on as soon as it saw exactly one reader.

The test now waits until all nodes know each other, until the node that precedes all others polls the store, and until each other node has decided in a pull that began after that. Then exactly that node must be the reader, where any single one was accepted before. It still fails when followers run on without being the reader (5 reads for 5 changes), when each node is a reader, and when each node pulls only from those that come after it in the order (n6 made 5 reads for 5 changes while n0 read).

No code outside tests is changed.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 type fakePeers struct {
 	nodes       map[string]*fakePeers
 	unreachable map[string]bool
+	sent        atomic.Int64 // requests of this node to others
 
 	mu       sync.Mutex
 	handlers map[string]kernel.MessageHandler
@@ -30,6 +32,7 @@
 func (p *fakePeers) Handle(kind string, h kernel.MessageHandler) { p.handlers[kind] = h }
 
 func (p *fakePeers) Request(ctx context.Context, to state.Member, kind string, body []byte) ([]byte, error) {
+	p.sent.Add(1)
 	node := p.nodes[to.CallAddr]
 	if node == nil || p.unreachable[to.CallAddr] {
 		return nil, kernel.ErrNotSent
--- a/directory/reader_test.go
+++ b/directory/reader_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -172,19 +173,20 @@
 	}
 	inForce := func(d *Directory) bool { return d.Snapshot().Version == uint64(version) }
 	change()
-	reader := -1
+	eventually(t, "all nodes know each other", func() bool {
+		return !slices.ContainsFunc(all, func(d *Directory) bool { return d.Snapshot().Nodes < count || !inForce(d) })
+	})
+	reader := slices.IndexFunc(all, func(d *Directory) bool { return len(d.precedingPeers()) == 0 })
+	change()
+	eventually(t, "the first node polls the store", func() bool { return inForce(all[reader]) })
+	awaitPulls(t, all, nodes, reader)
 	eventually(t, "one node reads for all others", func() bool {
-		readers := 0
 		for i, d := range all {
-			if !inForce(d) {
+			if d.isReader.Load() != (i == reader) || !inForce(d) {
 				return false
 			}
-			if d.isReader.Load() {
-				readers++
-				reader = i
-			}
 		}
-		return readers == 1
+		return true
 	})
 	var before [count]int64
 	for i, client := range clients {
@@ -212,6 +214,26 @@
 	eventually(t, "the node that is cut off learns the change from its peers", func() bool { return inForce(all[reader]) })
 }
 
+// awaitPulls waits until each node except the reader has decided, in a pull that began
+// after the call, whether to read the store itself. Nodes that start together all read
+// until they know each other, and begin to do so one by one: a single reader alone
+// doesn't show that the others have decided.
+func awaitPulls(t *testing.T, all []*Directory, nodes map[string]*fakePeers, reader int) {
+	t.Helper()
+	// A pull under way sends at most maxPullPeers-1 further requests, the next pull
+	// decides with its first, and the one after it shows that the decision is in force.
+	const requests = maxPullPeers + 1
+	decided := map[*fakePeers]int64{}
+	for i, d := range all {
+		if peers := nodes[d.options.Name]; i != reader {
+			decided[peers] = peers.sent.Load() + requests
+		}
+	}
+	for peers, want := range decided {
+		eventually(t, "the node has pulled from its peers", func() bool { return peers.sent.Load() >= want })
+	}
+}
+
 func eventually(t *testing.T, what string, f func() bool) {
 	t.Helper()
 	for limit := time.Now().Add(40 * time.Second); !f(); time.Sleep(5 * time.Millisecond) {
