directory: say why the test waits for the reader's first poll

A comment only, from reading the change as a newcomer: without the wait the other nodes read the store themselves for another half second, and nothing at that place said so.

--- a/directory/reader_test.go
+++ b/directory/reader_test.go
@@ -177,6 +177,8 @@
 		return !slices.ContainsFunc(all, func(d *Directory) bool { return d.Snapshot().Nodes < count || !inForce(d) })
 	})
 	reader := slices.IndexFunc(all, func(d *Directory) bool { return len(d.precedingPeers()) == 0 })
+	// Peers rely on the reader only while its latest contact with the store is recent,
+	// which it isn't between the reader's first read and its first poll.
 	change()
 	eventually(t, "the first node polls the store", func() bool { return inForce(all[reader]) })
 	awaitPulls(t, all, nodes, reader)
