platform: confirm a departure once the store holds it

Cause: a node acknowledged a deregistration, and a heartbeat that says draining, once it had them in memory. The record from which its next process learns of a departure was written 100 ms later (writeBatchDelay), or never while the store was away. If the node was killed in between, a late heartbeat made the instance available again.

Ruled out: the check of late heartbeats. A process whose predecessor's record names the departure takes none.

The departure is in force in memory at once, as before. This works because the store is the only thing that outlives the processes, and the next process reads its record.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -115,6 +115,7 @@
 	ownStored             storedRecord // offset and incarnation of the node's record in the store
 	previousRecord        Record       // record of an earlier process of this node
 	ownWritten            bool         // the store holds the current own record
+	held                  heldRecord   // the store's record under this node's name
 	ownWrittenIncarnation uint64       // the store's incarnation when own was written
 	writeSignal           chan struct{}
 	incarnationState
@@ -129,7 +130,7 @@
 func New(o Options) *Directory {
 	d := &Directory{
 		options: o, records: map[string]storedRecord{}, unreachableUntil: map[string]time.Time{}, writeSignal: make(chan struct{}, 1),
-		membersLoaded: make(chan struct{}),
+		membersLoaded: make(chan struct{}), held: heldRecord{replaced: make(chan struct{})},
 	}
 	d.snapshot.Store((&state.Snapshot{Members: map[state.MemberID]state.Member{}}).Index())
 	return d
@@ -342,9 +343,11 @@
 func (d *Directory) writeOnce(ctx context.Context) bool {
 	d.mu.Lock()
 	done := d.ownWritten || d.own == nil
+	var record Record
 	var value []byte
 	if !done {
-		value, _ = recordEncMode.Marshal(*d.own)
+		record = *d.own
+		value, _ = recordEncMode.Marshal(record)
 	}
 	d.mu.Unlock()
 	if done {
@@ -359,6 +362,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.held.replace(record)
 	current, _ := recordEncMode.Marshal(*d.own)
 	d.ownWritten = string(current) == string(value)
 	d.ownWrittenIncarnation = incarnation
--- a/directory/records.go
+++ b/directory/records.go
@@ -143,6 +143,7 @@
 		d.ownStored = storedRecord{Offset: s.Offset, Incarnation: s.Incarnation}
 	}
 	r := s.Record
+	d.held.replace(r)
 	if r.Member.ID != d.own.Member.ID {
 		d.adoptPrevious(r)
 	}
--- a/directory/restore.go
+++ b/directory/restore.go
@@ -73,6 +73,7 @@
 	d.membersIncarnation = incarnation
 	if !ownSeen && d.ownWritten && d.ownWrittenIncarnation < incarnation {
 		d.ownWritten = false
+		d.held.replace(Record{})
 		d.signalWrite()
 	}
 	for _, r := range d.records {
--- a/sidecar/instance.go
+++ b/sidecar/instance.go
@@ -1,6 +1,9 @@
 package sidecar
 
 import (
+	"context"
+
+	"github.com/gooseberryflow/gooseberryflow/directory"
 	"github.com/gooseberryflow/gooseberryflow/kernel"
 	"github.com/gooseberryflow/gooseberryflow/selfreport"
 	"github.com/gooseberryflow/gooseberryflow/state"
@@ -39,6 +42,15 @@
 	n.replaceInstance(i)
 }
 
+// AwaitDepartureStored waits until the store holds that an incarnation of the instance has
+// left or begun to drain, so that the next process of the node knows it. It returns the
+// error of ctx if that ends first.
+func (n *Node) AwaitDepartureStored(ctx context.Context, i state.Incarnation) error {
+	return n.directory.AwaitStored(ctx, func(r *directory.Record) bool {
+		return r.Instance.Left && r.Instance.ID == i.ID && r.Instance.StartedMS >= i.StartedMS
+	})
+}
+
 // replaceInstance publishes and announces a changed instance. n.instanceMu is held.
 func (n *Node) replaceInstance(i Instance) {
 	old := n.instance.Swap(&i)
