directory: a new process keeps the departure that its predecessor recorded

Callers saw requests run at an instance whose deregistration had been confirmed, once its node had been started twice since.

Cause: the record of a new process names no instance until it has heard of one. It replaced the record that named the departure 0.1 s after the start, possibly before that had been read, so the process after it knew nothing.

Change: the record keeps the instance of the earlier process until this one has heard of an instance, and the first write waits until the records have been read. This works because every write of the node now either names the departed instance or a later one.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -320,8 +320,14 @@
 	}
 }
 
-// writeLoop writes the node's own record to the store whenever the two differ.
+// writeLoop writes the node's own record to the store whenever the two differ. It begins
+// once the record of the node's earlier process has been read, which it overwrites.
 func (d *Directory) writeLoop(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-d.membersLoaded:
+	}
 	delay := minRetryDelay
 	for {
 		select {
--- a/directory/records.go
+++ b/directory/records.go
@@ -154,19 +154,28 @@
 }
 
 // adoptPrevious takes over the instance and fan-out recorded by an earlier process of
-// this node, unless a newer record of an earlier process is known. d.mu is held.
+// this node, unless a newer record of an earlier process is known. The instance stays in
+// the record until this process has heard of one. d.mu is held.
 func (d *Directory) adoptPrevious(r Record) {
 	if newer(d.previousRecord, r) {
 		return
 	}
+	own := *d.own
+	if own.Instance.ID == "" || own.Instance == d.previousRecord.Instance {
+		own.Instance = r.Instance
+	}
 	d.previousRecord = r
 	if d.options.OnPreviousInstance != nil {
 		go d.options.OnPreviousInstance(r.Instance) // it may announce a change
 	}
-	own := *d.own
 	if own.Fanout == nil && r.Member.Service == own.Member.Service {
 		own.Fanout = r.Fanout
 	}
+	if !sameRecord(own, *d.own) {
+		own.Revision++
+		d.ownWritten = false
+		d.signalWrite()
+	}
 	d.own = &own
 	d.supersedePrevious()
 }
--- a/directory/restore_test.go
+++ b/directory/restore_test.go
@@ -291,6 +291,9 @@
 	if i := <-previous; !i.Left || i.ID != "i-1" {
 		t.Errorf("previous instance %+v, want i-1 marked as left", i)
 	}
+	if !d.own.Instance.Left || d.own.Instance.ID != "i-1" {
+		t.Errorf("the process's record names the instance %+v, want i-1 marked as left", d.own.Instance)
+	}
 	if d.own.Member.AnnouncedMS <= 5 || d.ownWritten {
 		t.Error("the process's record is not newer than its predecessor's")
 	}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -219,7 +219,9 @@
 		r.Member.Slots = i.Slots
 		r.Member.Draining = i.Draining || n.Stopping()
 		r.Present = i.Present
-		r.Instance = directory.Instance{ID: i.ID, StartedMS: i.StartedMS, Left: i.ID != "" && (i.Draining || !i.Present)}
+		if i.ID != "" { // else the record keeps the instance beside an earlier process
+			r.Instance = directory.Instance{ID: i.ID, StartedMS: i.StartedMS, Left: i.Draining || !i.Present}
+		}
 	})
 }
 
