sidecar: a stopping node takes late calls only if they are certain to end

Cause: a call was taken if the longest recent call of its route left it time. Calls of one route may differ in work, and an instance may turn slow, so earlier calls don't tell how long one takes; once sent on, it can only be awaited or broken off.

Ruled out: the decay of the longest latency.

Change: from 2.7 s after the beginning of the stop (stopAcceptPeriod, as for callers' requests) a call is taken only if its deadline, which includes the route's timeout, passes before the cut-off. Every call sent on later ends with its instance's response or at its own limit.

TestRefuseInStop: its cases of the estimate lay 4 to 5 s into the stop, where the estimate no longer decides. They now lie within the accept period, with the same relation of time left to estimate, and four cases of the new rule are added; two of these failed before.

--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -19,7 +19,7 @@
 	// stopAcceptPeriod is how long a stopping node accepts new requests of
 	// callers. A request accepted in this period ends before the stop timeout,
 	// or has run for so long that the caller's platform no longer expects an
-	// answer.
+	// answer. Calls of the instance that come later must be certain to end.
 	stopAcceptPeriod = 2700 * time.Millisecond
 	// exitMargin is the part of the stop timeout reserved for the process to exit.
 	exitMargin = 150 * time.Millisecond
@@ -96,9 +96,10 @@
 }
 
 // RefuseInStop returns the refusal of a call for which a planned stop leaves no time, else
-// nil. A stopping node takes new requests of callers for stopAcceptPeriod. It takes the
-// calls of its instance, which belong to work already begun, as long as they are expected
-// to end before the node does.
+// nil. A stopping node takes new requests of callers for stopAcceptPeriod. In that period it
+// takes the calls of its instance, which belong to work already begun, if they are expected to
+// end before the node does. Later it takes only those whose deadline passes before: earlier
+// calls don't tell how long one takes, and one that is ended by the node may have run.
 func (n *Node) RefuseInStop(c *kernel.Call) *kernel.Result {
 	now := n.host.Now()
 	stop := n.stop.Load()
@@ -115,9 +116,12 @@
 		}
 		return kernel.Refuse(kernel.ReasonDraining, "this node is stopping", retryAfterStop(left))
 	}
-	expected := n.latencies.expected(c.RouteName, time.Duration(c.TargetLatencyMS)*time.Millisecond, now)
-	expected += max(expected/4, minLatencyMargin)
-	if left > min(expected, c.Deadline().Sub(now)) {
+	needed := c.Deadline().Sub(now)
+	if now.Sub(stop.Began) <= stopAcceptPeriod {
+		expected := n.latencies.expected(c.RouteName, time.Duration(c.TargetLatencyMS)*time.Millisecond, now)
+		needed = min(needed, expected+max(expected/4, minLatencyMargin))
+	}
+	if left > needed {
 		n.latencies.take(c.RouteName, now)
 		return nil
 	}
--- a/sidecar/stop_test.go
+++ b/sidecar/stop_test.go
@@ -8,8 +8,8 @@
 	"github.com/gooseberryflow/gooseberryflow/kernel"
 )
 
-// A stopping node takes callers' requests for a while, and calls of its instance for as
-// long as they are expected to end before the cut-off.
+// A stopping node takes callers' requests for a while, and calls of its instance that are
+// expected to end before the cut-off; later, only those that are certain to.
 func TestRefuseInStop(t *testing.T) {
 	began := time.Unix(1_800_000_000, 0)
 	const cutOff = 5600 * time.Millisecond
@@ -26,15 +26,19 @@
 		{"caller in the accept period", 2 * time.Second, false, 5 * time.Second, 0, time.Second, 5 * time.Second, false},
 		{"caller after it", 2800 * time.Millisecond, false, 0, 0, time.Second, 5 * time.Second, true},
 		{"caller whose objective leaves no time", 2 * time.Second, false, 0, 0, 4 * time.Second, 5 * time.Second, true},
-		{"call with enough time", 4700 * time.Millisecond, true, 700 * time.Millisecond, 0, time.Second, 3 * time.Second, false},
-		{"call without enough time", 5 * time.Second, true, 700 * time.Millisecond, 0, time.Second, 3 * time.Second, true},
-		{"call that ends by its deadline", 5 * time.Second, true, 700 * time.Millisecond, 0, time.Second, 500 * time.Millisecond, false},
-		{"call of an unknown route", 4 * time.Second, true, 0, 0, time.Second, 3 * time.Second, false},
-		{"call of an unknown route, later", 5 * time.Second, true, 0, 0, time.Second, 3 * time.Second, true},
-		{"call without an answer for a while", 4 * time.Second, true, 100 * time.Millisecond, 400 * time.Millisecond, time.Second, 3 * time.Second, false},
-		{"call without an answer for longer", 4 * time.Second, true, 100 * time.Millisecond, 500 * time.Millisecond, time.Second, 3 * time.Second, true},
-		{"call of a slow route without an answer", 4 * time.Second, true, 1200 * time.Millisecond, 1100 * time.Millisecond, time.Second, 3 * time.Second, false},
-		{"call of an unknown route without an answer", 4 * time.Second, true, 0, 1100 * time.Millisecond, time.Second, 3 * time.Second, true},
+		{"call with enough time", 1700 * time.Millisecond, true, 3 * time.Second, 0, time.Second, 5 * time.Second, false},
+		{"call without enough time", 1900 * time.Millisecond, true, 3 * time.Second, 0, time.Second, 5 * time.Second, true},
+		{"call that ends by its deadline", 1900 * time.Millisecond, true, 3 * time.Second, 0, time.Second, 3500 * time.Millisecond, false},
+		{"call of an unknown route", 2 * time.Second, true, 0, 0, 2800 * time.Millisecond, 5 * time.Second, false},
+		{"call of an unknown route, later", 2200 * time.Millisecond, true, 0, 0, 2800 * time.Millisecond, 5 * time.Second, true},
+		{"call without an answer for a while", 2600 * time.Millisecond, true, 100 * time.Millisecond, 700 * time.Millisecond, time.Second, 5 * time.Second, false},
+		{"call without an answer for longer", 2600 * time.Millisecond, true, 100 * time.Millisecond, 900 * time.Millisecond, time.Second, 5 * time.Second, true},
+		{"call of a slow route without an answer", 2600 * time.Millisecond, true, 2200 * time.Millisecond, 2100 * time.Millisecond, time.Second, 5 * time.Second, false},
+		{"call of an unknown route without an answer", 2600 * time.Millisecond, true, 0, 1100 * time.Millisecond, time.Second, 5 * time.Second, true},
+		{"short call with a long deadline, in the accept period", 2600 * time.Millisecond, true, 20 * time.Millisecond, 0, time.Second, 5 * time.Second, false},
+		{"short call with a long deadline, after it", 2800 * time.Millisecond, true, 20 * time.Millisecond, 0, time.Second, 5 * time.Second, true},
+		{"call with a deadline after the cut-off", 4 * time.Second, true, 20 * time.Millisecond, 0, time.Second, 1700 * time.Millisecond, true},
+		{"call with a deadline before the cut-off", 4 * time.Second, true, 700 * time.Millisecond, 0, time.Second, 1500 * time.Millisecond, false},
 		{"after the cut-off", 5700 * time.Millisecond, true, time.Millisecond, 0, time.Second, 3 * time.Second, true},
 	}
 	for _, c := range cases {
