directory: a restored store holds no record until it is read or written

Found by reading again, before any caller saw it: a departure could be confirmed that a restored store had lost.

Cause: the record that the store is known to hold was dropped only if the whole record was written when the loss was seen. With another change pending, the lost departure still counted as stored.

Change: it is dropped with the first sight of a new incarnation; reading the records again or the next write brings it back. This covers every loss, since the store loses records only in a new incarnation.

Evidence: TestAwaitStored, with a write pending at the restore, failed before ("lost by the restored store: stored true").

--- a/directory/held_test.go
+++ b/directory/held_test.go
@@ -32,6 +32,7 @@
 	}
 	check("returned by the store", true)
 
+	d.Announce(func(r *Record) { r.Pools = []int{1} }) // a write is pending when the store is restored
 	d.applyMembers(Page{End: 3, Incarnation: 2}, true, 0)
 	check("lost by the restored store", false)
 
--- a/directory/restore.go
+++ b/directory/restore.go
@@ -49,9 +49,9 @@
 }
 
 // observeIncarnation records an incarnation of the store if it is newer than the
-// known one. It resets the offsets, since those of earlier incarnations don't apply,
-// and has reads confirm the configuration in force only as confirmsConfig allows.
-// d.mu is held.
+// known one. It resets the offsets, since those of earlier incarnations don't apply, and
+// the record that the store is known to hold, which may be lost, and has reads confirm the
+// configuration in force only as confirmsConfig allows. d.mu is held.
 func (d *Directory) observeIncarnation(incarnation uint64, from string) {
 	if incarnation <= d.incarnation {
 		return
@@ -63,6 +63,7 @@
 	d.membersOffset = 0
 	d.configOffset.Store(0)
 	d.ownStored = storedRecord{Incarnation: incarnation}
+	d.held.replace(Record{}) // until it is read or written again
 	d.configUntrusted, d.olderConfigLogged = s.Config != nil, false
 }
 
@@ -73,7 +74,6 @@
 	d.membersIncarnation = incarnation
 	if !ownSeen && d.ownWritten && d.ownWrittenIncarnation < incarnation {
 		d.ownWritten = false
-		d.held.replace(Record{})
 		d.signalWrite()
 	}
 	for _, r := range d.records {
