--- a/review/harness3/fleet.go
+++ b/review/harness3/fleet.go
@@ -78,9 +78,13 @@
 		return nil, err
 	}
 	f.template = string(template)
+	// The port of the metrics is fixed by the deploy file, so two fleets need addresses of
+	// their own.
+	network := fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, os.Getpid()/200%250)
+	storeIP := network + ".250"
 	var ips []string
 	for i := range services {
-		ips = append(ips, fmt.Sprintf("127.0.7.%d", i+1))
+		ips = append(ips, fmt.Sprintf("%s.%d", network, i+1))
 	}
 	used := map[int]bool{9090: true}
 	for _, p := range []*int{&f.ports.outbound, &f.ports.readiness, &f.ports.control, &f.ports.app, &f.ports.call} {
@@ -88,11 +92,11 @@
 			return nil, err
 		}
 	}
-	storePort, err := freePort([]string{"127.0.7.250"}, used)
+	storePort, err := freePort([]string{storeIP}, used)
 	if err != nil {
 		return nil, err
 	}
-	f.storeAt = fmt.Sprintf("127.0.7.250:%d", storePort)
+	f.storeAt = fmt.Sprintf("%s:%d", storeIP, storePort)
 	if f.store, err = startStore(f.storeAt, 8); err != nil {
 		return nil, err
 	}
