--- a/review/harness3/config.go
+++ b/review/harness3/config.go
@@ -33,11 +33,11 @@
 	}
 	c := object{
 		"version": version, "base_version": version - 1,
-		"limits":    object{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_s": 3, "idle_timeout_s": 15},
+		"limits":    object{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_s": f.headerTimeoutS, "idle_timeout_s": 15},
 		"listeners": listeners, "clusters": clusters, // each route has a host of its own
 	}
 	if len(keys) > 0 {
-		c["tenants"] = []object{{"name": "tenant-1", "api_keys": keys, "priority": 1, "rate_per_s": 0, "burst": 0}}
+		c["tenants"] = []object{{"name": "tenant-1", "api_keys": keys, "priority": 1, "rate_per_s": f.rate, "burst": f.rate}}
 	}
 	document, err := json.Marshal(c)
 	if err != nil {
--- a/review/harness3/fleet.go
+++ b/review/harness3/fleet.go
@@ -44,6 +44,10 @@
 	// template is the text of the deploy file's template.
 	template string
 	stop     chan struct{}
+	// headerTimeoutS is header_timeout_s of the configs.
+	headerTimeoutS int
+	// rate is the tenant's rate_per_s and burst; zero: no limit.
+	rate int
 }
 
 // freePort returns a port that is free on all given addresses.
@@ -72,7 +76,7 @@
 // newFleet lays out machines: services[i] is the service of machine i, which is in zone
 // i mod 3.
 func newFleet(dir string, services []string, memoryMB int, rec *recorder) (*fleet, error) {
-	f := &fleet{dir: dir, rec: rec, program: filepath.Join("target", "gooseberryflowd"), stop: make(chan struct{})}
+	f := &fleet{dir: dir, rec: rec, program: filepath.Join("target", "gooseberryflowd"), stop: make(chan struct{}), headerTimeoutS: 3}
 	template, err := os.ReadFile(filepath.Join("deploy", "node.toml.tmpl"))
 	if err != nil {
 		return nil, err
@@ -188,23 +192,28 @@
 	_ = m.node.Process.Signal(s)
 }
 
-// anonMB returns the anonymous memory of the node's process in MiB, without the text of
-// the program.
-func (m *machine) anonMB() float64 {
+// stopNode stops the node as planned and starts it again once it has ended.
+func (m *machine) stopNode(grace time.Duration) {
+	m.signal(syscall.SIGTERM, true)
 	m.mu.Lock()
-	pid := m.node.Process.Pid
+	ended := m.ended
 	m.mu.Unlock()
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(text)) {
-		var kb float64
-		if n, _ := fmt.Sscanf(line, "RssAnon: %f kB", &kb); n == 1 {
-			return kb / 1024
+	go func() {
+		select {
+		case <-ended:
+		case <-time.After(grace):
+			m.signal(syscall.SIGKILL, true)
+			<-ended
 		}
-	}
-	return 0
+		select {
+		case <-m.fleet.stop:
+			return
+		case <-time.After(restartDelay):
+		}
+		if err := m.startNode(); err != nil {
+			m.fleet.rec.printf("node %s not started again: %v", m.name, err)
+		}
+	}()
 }
 
 // close ends all processes that the script has started.
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -22,10 +22,10 @@
 }
 
 var cases = map[string]func(dir string, rec *recorder, trouble bool) (verdict, error){
-	"popular": playPopular,
-	"clock":   playClock,
-	"tenants": playTenants,
-	"uploads": playUploads,
+	"departure": playDeparture,
+	"head":      playHead,
+	"http10":    playHTTP10,
+	"clock":     playClock,
 }
 
 func main() {
--- a/review/harness3/store.go
+++ b/review/harness3/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
@@ -44,6 +45,10 @@
 	topics     map[string]*storeTopic
 	members    map[string]*storeMember
 	generation uint64
+	// lose returns how much later an append of a key is done, which is then not answered;
+	// zero: it is done and answered. onLate is called once it has been done. Both may be nil.
+	lose   func(key string) time.Duration
+	onLate func()
 }
 
 func startStore(address string, partitions int) (*store, error) {
@@ -97,12 +102,36 @@
 		s.read(w, r)
 		return
 	}
+	if s.loses(r, body) {
+		return
+	}
 	status, answer := s.execute(r, body)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_, _ = w.Write(answer)
 }
 
+// loses leaves an append unanswered that is to be lost, and does it later.
+func (s *store) loses(r *http.Request, body []byte) bool {
+	s.mu.Lock()
+	lose, onLate := s.lose, s.onLate
+	s.mu.Unlock()
+	if lose == nil || r.URL.Path != "/-/log-append" || len(body) < 5 {
+		return false
+	}
+	late := lose(string(body[5 : 5+body[4]]))
+	if late == 0 {
+		return false
+	}
+	done := r.Clone(context.Background())
+	time.AfterFunc(late, func() {
+		s.execute(done, body)
+		onLate()
+	})
+	<-r.Context().Done()
+	return true
+}
+
 // execute runs a call other than a read of records.
 func (s *store) execute(r *http.Request, body []byte) (status int, answer []byte) {
 	s.mu.Lock()
--- a/review/harness3/worker.go
+++ b/review/harness3/worker.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +33,9 @@
 	ahead                               time.Duration // of the machine's time of day at the start
 	work                                func(r *http.Request) time.Duration
 	onArrival                           func(arrival)
+	// spoil returns the pieces of what is sent in place of an answer with the given stamp and
+	// body, or nil; the connection then ends.
+	spoil func(id, stamp, body string) []string
 
 	server   *http.Server
 	listener net.Listener
@@ -148,7 +150,33 @@
 	case <-r.Context().Done():
 		return
 	}
-	out.Header().Set("X-Server-Stamp", fmt.Sprintf("%s.%d", w.id, w.runs.Add(1)))
+	stamp := fmt.Sprintf("%s.%d", w.id, w.runs.Add(1))
+	body := fmt.Sprintf("%s read %d bytes of %s\n", w.id, n, id)
+	if w.spoil != nil {
+		if pieces := w.spoil(id, stamp, body); pieces != nil {
+			writePieces(out, pieces)
+			return
+		}
+	}
+	out.Header().Set("X-Server-Stamp", stamp)
 	out.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,%d", w.running.Load(), w.slots))
-	_, _ = io.Copy(out, strings.NewReader(fmt.Sprintf("%s read %d bytes of %s\n", w.id, n, id)))
+	_, _ = io.WriteString(out, body)
+}
+
+// pieceGap is the time between two pieces, so that they arrive one by one.
+const pieceGap = 30 * time.Millisecond
+
+// writePieces writes bytes in place of a response and closes the connection.
+func writePieces(out http.ResponseWriter, pieces []string) {
+	conn, _, err := http.NewResponseController(out).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	for _, piece := range pieces {
+		if _, err := io.WriteString(conn, piece); err != nil {
+			return
+		}
+		time.Sleep(pieceGap)
+	}
 }
