--- a/review/harness3/clock.go
+++ b/review/harness3/clock.go
@@ -11,12 +11,12 @@
 
 const drainPeriod = 2 * time.Second
 
-// playClock steps the time of day of one machine back while its worker goes down and up, and
+// playClock steps the time of day of one machine back while its worker crashes twice, and
 // has that worker leave later, in calm.
 func playClock(dir string, rec *recorder, trouble bool) (verdict, error) {
 	var services []string
-	for i := range 6 {
-		services = append(services, []string{"vitrina", "comenzi"}[i%2])
+	for range 10 {
+		services = append(services, "vitrina")
 	}
 	f, err := newFleet(dir, services, 284, rec)
 	if err != nil {
--- a/review/harness3/departure.go
+++ b/review/harness3/departure.go
@@ -20,7 +20,7 @@
 // playDeparture has the store do a write of a node's record seconds late, after the node has
 // acknowledged that its worker has left, and kills the node then.
 func playDeparture(dir string, rec *recorder, trouble bool) (verdict, error) {
-	f, err := newFleet(dir, []string{"vitrina", "vitrina", "vitrina"}, 284, rec)
+	f, err := newFleet(dir, []string{"vitrina", "vitrina", "vitrina", "vitrina", "vitrina", "vitrina"}, 284, rec)
 	if err != nil {
 		return verdict{}, err
 	}
--- a/review/harness3/fleet.go
+++ b/review/harness3/fleet.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -47,7 +48,8 @@
 	// headerTimeoutS is header_timeout_s of the configs.
 	headerTimeoutS int
 	// rate is the tenant's rate_per_s and burst; zero: no limit.
-	rate int
+	rate    int
+	closing sync.Once
 }
 
 // freePort returns a port that is free on all given addresses.
@@ -77,6 +79,7 @@
 // i mod 3.
 func newFleet(dir string, services []string, memoryMB int, rec *recorder) (*fleet, error) {
 	f := &fleet{dir: dir, rec: rec, program: filepath.Join("target", "gooseberryflowd"), stop: make(chan struct{}), headerTimeoutS: 3}
+	started.Store(f)
 	template, err := os.ReadFile(filepath.Join("deploy", "node.toml.tmpl"))
 	if err != nil {
 		return nil, err
@@ -216,8 +219,13 @@
 	}()
 }
 
+// started is the fleet of the process.
+var started atomic.Pointer[fleet]
+
 // close ends all processes that the script has started.
-func (f *fleet) close() {
+func (f *fleet) close() { f.closing.Do(f.closeOnce) }
+
+func (f *fleet) closeOnce() {
 	close(f.stop)
 	for _, m := range f.machines {
 		m.mu.Lock()
@@ -232,5 +240,7 @@
 			m.worker.crash()
 		}
 	}
-	_ = f.store.server.Close()
+	if f.store != nil {
+		_ = f.store.server.Close()
+	}
 }
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // Exit codes of a script.
@@ -52,6 +54,7 @@
 	} else {
 		fmt.Println(dir)
 	}
+	go cleanUpOnSignal(dir)
 	v, err := cases[name](dir, rec, trouble)
 	switch {
 	case err != nil:
@@ -67,3 +70,15 @@
 	fmt.Println("held:", v.what)
 	return exitHeld
 }
+
+// cleanUpOnSignal ends what the script has started, if the script itself is ended.
+func cleanUpOnSignal(dir string) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	<-signals
+	if f := started.Load(); f != nil {
+		f.close()
+	}
+	_ = os.RemoveAll(dir)
+	os.Exit(exitNotRun)
+}
